--- a/bench/path.sh
+++ b/bench/path.sh
@@ -40,7 +40,7 @@
 platform_url: http://$platform
 EOF
 wait_for "http://$platform/v1/vms" vms
-start "$build/packages/daemon/knapweedwheeld" --settings "$out/daemon.yaml"
+start "$build/knapweedwheeld" --settings "$out/daemon.yaml"
 knapweedwheeld=${pids[3]}
 wait_for "http://$daemon/readyz" '"workers_unready":0'
 KNAPWEEDWHEEL_DAEMONS=http://$daemon "$build/packages/ctl/knapweedwheel" publish --author bench \
--- /dev/null
+++ b/packages/cell/process/advice.c
@@ -0,0 +1,94 @@
+#include <glib.h>
+
+#include "advice.h"
+
+struct row {
+	enum verdict verdict;
+	char *ticket;
+	int64_t valid_until_ms;
+};
+
+struct advice_rows {
+	GHashTable *by_handle;
+};
+
+static void row_free(gpointer data)
+{
+	struct row *row = data;
+
+	g_free(row->ticket);
+	g_free(row);
+}
+
+struct advice *advice_create(void)
+{
+	struct advice *a = g_new0(struct advice, 1);
+
+	a->rows = g_new0(struct advice_rows, 1);
+	a->rows->by_handle = g_hash_table_new_full(NULL, NULL, NULL, row_free);
+	return a;
+}
+
+void advice_destroy(struct advice *a)
+{
+	if (!a)
+		return;
+	g_hash_table_unref(a->rows->by_handle);
+	g_free(a->rows);
+	g_free(a);
+}
+
+static struct row *find(const struct advice *a, uint32_t handle)
+{
+	return g_hash_table_lookup(a->rows->by_handle, GUINT_TO_POINTER(handle));
+}
+
+static struct row *get(struct advice *a, uint32_t handle)
+{
+	struct row *row = find(a, handle);
+
+	if (row)
+		return row;
+	row = g_new0(struct row, 1);
+	g_hash_table_insert(a->rows->by_handle, GUINT_TO_POINTER(handle), row);
+	return row;
+}
+
+enum verdict advice_verdict(const struct advice *a, uint32_t handle)
+{
+	const struct row *row = a ? find(a, handle) : NULL;
+
+	return row ? row->verdict : VERDICT_UNKNOWN;
+}
+
+const char *advice_ticket(const struct advice *a, uint32_t handle, int64_t until_ms)
+{
+	const struct row *row = a ? find(a, handle) : NULL;
+
+	if (!row || row->verdict != VERDICT_APPROVED || row->valid_until_ms < until_ms)
+		return NULL;
+	return row->ticket;
+}
+
+void advice_approve(struct advice *a, uint32_t handle, const char *ticket, int64_t valid_until_ms)
+{
+	struct row *row = get(a, handle);
+
+	row->verdict = VERDICT_APPROVED;
+	g_free(row->ticket);
+	row->ticket = g_strdup(ticket);
+	row->valid_until_ms = valid_until_ms;
+}
+
+void advice_deny(struct advice *a, uint32_t handle)
+{
+	get(a, handle)->verdict = VERDICT_DENIED;
+}
+
+void advice_spoil(struct advice *a, uint32_t handle)
+{
+	struct row *row = find(a, handle);
+
+	if (row)
+		row->valid_until_ms = 0;
+}
--- /dev/null
+++ b/packages/cell/process/advice.h
@@ -0,0 +1,35 @@
+#ifndef CELL_ADVICE_H
+#define CELL_ADVICE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * advice - what the advisor said of one step: which runners may run it, and their tickets.
+ *
+ * An approval stands for the life of the runner; its ticket is valid for a short time only and has
+ * to be asked for again. Runners are named by the handle of their life.
+ */
+enum verdict {
+	VERDICT_UNKNOWN = 0,
+	VERDICT_APPROVED,
+	VERDICT_DENIED,
+};
+
+struct advice {
+	struct advice_rows *rows;
+	bool asking;
+	uint64_t cost_us; /* of the call under way */
+};
+
+struct advice *advice_create(void);
+void advice_destroy(struct advice *a);
+enum verdict advice_verdict(const struct advice *a, uint32_t handle);
+/* advice_ticket - NULL unless there is one that is valid at until_ms. */
+const char *advice_ticket(const struct advice *a, uint32_t handle, int64_t until_ms);
+void advice_approve(struct advice *a, uint32_t handle, const char *ticket, int64_t valid_until_ms);
+void advice_deny(struct advice *a, uint32_t handle);
+/* advice_spoil - the runner didn't take the ticket. */
+void advice_spoil(struct advice *a, uint32_t handle);
+
+#endif
--- /dev/null
+++ b/packages/cell/process/book.h
@@ -0,0 +1,33 @@
+#ifndef CELL_BOOK_H
+#define CELL_BOOK_H
+
+#include "request/plan.h"
+
+/*
+ * book - the jobs of a cell, as read from the job log.
+ *
+ * Keys of the log: ID for the job as accepted, ID/c if it was cancelled, ID/p for its progress. A
+ * key without a value is dropped. The records of one job may be read in any order.
+ */
+struct book;
+
+struct book_ops {
+	/* changed - the job was read, or cancelled. May be NULL. */
+	void (*changed)(void *ctx, struct plan *p);
+	/* dropped - the job is about to be forgotten. May be NULL. */
+	void (*dropped)(void *ctx, struct plan *p);
+};
+
+struct book *book_create(void);
+void book_destroy(struct book *b);
+void book_watch(struct book *b, const struct book_ops *ops, void *ctx);
+/* book_apply - one record; false if it can't be read, which leaves the book as it was. */
+bool book_apply(struct book *b, const char *key, const uint8_t *value, size_t size);
+/* book_find - NULL if the job was not read, or only other records of it. */
+struct plan *book_find(const struct book *b, const char *id);
+/* book_waiting - jobs of the queue for which no task was started, and that have not ended. */
+uint32_t book_waiting(const struct book *b, const char *queue);
+void book_each(const struct book *b, void (*fn)(void *ctx, struct plan *p), void *ctx);
+uint32_t book_count(const struct book *b);
+
+#endif
--- /dev/null
+++ b/packages/cell/process/looks.c
@@ -0,0 +1,162 @@
+#define G_LOG_DOMAIN "looks"
+
+#include "scheduler_priv.h"
+
+#define FAULTS_MAX    2	    /* failures in a row after which a runner gets no work for a while */
+#define BAR_MIN_MS    2000  /* first pause of such a runner; doubles with each failure */
+#define LOOK_ENDS_MAX 500   /* the platform lists at most that many ends in one answer */
+#define BAR_MAX_MS    16000 /* a runner that has recovered is tried within that time */
+
+static void note_fault(struct scheduler *s, struct exec *e, struct plan *p)
+{
+	int64_t pause = BAR_MIN_MS;
+
+	/* A job whose tasks fail elsewhere too says nothing of this runner. */
+	if (p->failed_on && p->failed_on != e->handle + 1)
+		return;
+	p->failed_on = e->handle + 1;
+	if (++e->faults < FAULTS_MAX)
+		return;
+	for (uint32_t i = FAULTS_MAX; i < e->faults && pause < BAR_MAX_MS; i++)
+		pause *= 2;
+	e->barred_until_ms = s->now_ms + MIN(pause, BAR_MAX_MS);
+	g_info("runner %s: no starts for %" G_GINT64_FORMAT " ms after %u failures", e->id, pause,
+	       e->faults);
+}
+
+static void finish_task(struct scheduler *s, struct plan *p, uint32_t task)
+{
+	struct plan_step *step = plan_step_of(p, task);
+
+	if (plan_ended(p))
+		return;
+	plan_task_done(p, task);
+	if (step->spec->gang)
+		scheduler_stop_gang(s, p, step);
+	if (plan_all_done(p))
+		scheduler_end_job(s, p, JOB_DONE);
+}
+
+static void end_failed(struct scheduler *s, struct exec *e, struct plan *p, uint32_t task)
+{
+	p->task[task].avoid = e->handle + 1;
+	if (plan_ended(p))
+		return;
+	note_fault(s, e, p);
+	if (plan_task_failed(p, task))
+		scheduler_end_job(s, p, JOB_FAILED);
+}
+
+static void apply_end(struct scheduler *s, struct exec *e, struct plan *p, uint32_t task,
+		      const struct look_ended *end)
+{
+	struct plan_step *step = plan_step_of(p, task);
+
+	plan_checkpoint(p, task, end->checkpoint);
+	s->sums.ends[end->end]++;
+	if (end->end == END_DONE) {
+		e->faults = 0;
+		if (step->spec->lasting)
+			return;
+		finish_task(s, p, task);
+	} else if (end->end == END_FAILED) {
+		end_failed(s, e, p, task);
+	}
+}
+
+static void read_end(struct scheduler *s, struct exec *e, const struct look_ended *end)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	struct plan *p = NULL;
+	struct plan_step *of;
+	struct run *r;
+	uint32_t task;
+
+	if (plan_parse_name(end->task, id, &occurrence, &step, &index))
+		p = book_find(s->book, id);
+	task = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
+	if (task == UINT32_MAX) {
+		g_info("runner %s lists the end of an unknown task %s", e->id, end->task);
+		return;
+	}
+	of = &p->step[occurrence * p->job->n_step + step];
+	r = p->task[task].live;
+	if (r && r->no == end->run && r->exec == e) {
+		scheduler_drop_run(s, r);
+	} else if (end->end != END_DONE || p->task[task].done) {
+		/* An older run, of which everything is known already. */
+		return;
+	} else if (r) {
+		/* An older run was done after all; the newer one isn't needed. */
+		scheduler_stop_run(s, r);
+	}
+	apply_end(s, e, p, task, end);
+	if (of->spec->gang && !p->task[task].done)
+		scheduler_stop_gang(s, p, of);
+	scheduler_mark(s, p);
+}
+
+static void read_running(struct scheduler *s, struct exec *e, const struct look_running *row)
+{
+	struct run *r = scheduler_find_run(s, e->id, row->task, row->run);
+
+	if (!r) {
+		g_info("runner %s runs %s (run %u), which nobody wants", e->id, row->task,
+		       row->run);
+		s->ops->stop(s->ctx, e->id, e->address, row->task, row->run);
+		return;
+	}
+	r->listed = true;
+	if (r->state != RUN_ON) {
+		r->state = RUN_ON;
+		r->on_ms = s->now_ms;
+		r->plan->started = true;
+	}
+	plan_checkpoint(r->plan, r->task, row->checkpoint);
+}
+
+/* Whether the list, asked for at sent_ms, proves that the run does not exist. */
+static bool surely_gone(const struct run *r, int64_t sent_ms)
+{
+	if (r->listed)
+		return false;
+	if (r->inherited)
+		return true;
+	if (r->stop_answered_ms && r->stop_answered_ms <= sent_ms)
+		return true;
+	return r->state == RUN_ON && r->on_ms < sent_ms;
+}
+
+static void drop_missing(struct scheduler *s, struct exec *e, int64_t sent_ms)
+{
+	for (guint i = e->run->len; i > 0; i--) {
+		struct run *r = e->run->pdata[i - 1];
+
+		if (surely_gone(r, sent_ms))
+			scheduler_lose_run(s, r);
+		else
+			r->inherited = false;
+	}
+}
+
+void looks_read(struct scheduler *s, struct exec *e, const struct look *look, int64_t sent_ms)
+{
+	for (guint i = 0; i < e->run->len; i++)
+		((struct run *)e->run->pdata[i])->listed = false;
+	for (size_t i = 0; i < look->n_ended; i++) {
+		if (look->ended[i].no <= e->processed)
+			continue;
+		read_end(s, e, &look->ended[i]);
+		e->processed = look->ended[i].no;
+		e->seen_next = e->processed;
+		e->seen_batch = s->dirty->len ? s->batch_next : s->batch_next - 1;
+	}
+	for (size_t i = 0; i < look->n_running; i++)
+		read_running(s, e, &look->running[i]);
+	/* With a full list, ends may be left out. */
+	if (look->n_ended < LOOK_ENDS_MAX)
+		drop_missing(s, e, sent_ms);
+}
--- /dev/null
+++ b/packages/cell/process/pick.c
@@ -0,0 +1,429 @@
+#include <string.h>
+
+#include "scheduler_priv.h"
+
+#define ASK_NAMES_MAX	24     /* runners in one question: naming more costs more than it finds */
+#define ASK_AHEAD_STEPS 3      /* steps of a pool that ask before there is room for them */
+#define ASK_AHEAD_US	100000 /* only where an answer takes that long is asking ahead worth it */
+#define ASK_LOAD_US	500000 /* outstanding calls of a helper; beyond it, answers come too late */
+#define BLOCKED_GANGS	2      /* gangs of a pool that keep room free while they wait */
+
+/* One placement pass over a pool of runners. */
+struct pass_pool {
+	const char *service;
+	GPtrArray *exec;
+	uint32_t ahead;
+	uint32_t blocked;
+};
+
+struct pass {
+	struct scheduler *s;
+	GHashTable *pool; /* by service */
+};
+
+/* A step whose tasks are being placed. */
+struct target {
+	struct pass_pool *pool;
+	struct plan *plan;
+	struct plan_step *step;
+	struct amount need;
+	bool advised;
+};
+
+static int by_order(gconstpointer a, gconstpointer b)
+{
+	const struct plan *p = *(struct plan *const *)a;
+	const struct plan *q = *(struct plan *const *)b;
+
+	if (p->job->priority != q->job->priority)
+		return p->job->priority < q->job->priority ? -1 : 1;
+	if (p->job->accepted_ms != q->job->accepted_ms)
+		return p->job->accepted_ms < q->job->accepted_ms ? -1 : 1;
+	return strcmp(p->id, q->id);
+}
+
+static void pool_free(gpointer data)
+{
+	struct pass_pool *pool = data;
+
+	g_ptr_array_unref(pool->exec);
+	g_free(pool);
+}
+
+static void gather(struct pass *pass)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	pass->pool = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	g_hash_table_iter_init(&it, pass->s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct exec *e = value;
+		struct pass_pool *pool;
+
+		e->hoped = (struct amount){ 0 };
+		if (!e->service || !scheduler_usable(pass->s, e))
+			continue;
+		pool = g_hash_table_lookup(pass->pool, e->service);
+		if (!pool) {
+			pool = g_new0(struct pass_pool, 1);
+			pool->service = e->service;
+			pool->exec = g_ptr_array_new();
+			g_hash_table_insert(pass->pool, e->service, pool);
+		}
+		g_ptr_array_add(pool->exec, e);
+	}
+}
+
+static uint32_t on_runner(const struct exec *e, const struct target *t)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < e->run->len; i++) {
+		const struct run *r = e->run->pdata[i];
+
+		if (r->plan == t->plan && r->task >= t->step->first_task &&
+		    r->task < t->step->first_task + t->step->spec->count)
+			n++;
+	}
+	return n;
+}
+
+/* Whether the runner could ever run a task of the step, with room or without. */
+static bool suits(const struct target *t, const struct exec *e)
+{
+	const Cell__Step *spec = t->step->spec;
+
+	if (!amount_fits(&t->need, &e->room))
+		return false;
+	if (*spec->label && !exec_has_label(e, spec->label))
+		return false;
+	return !t->advised || advice_verdict(t->step->advice, e->handle) != VERDICT_DENIED;
+}
+
+static bool has_room(const struct target *t, const struct exec *e)
+{
+	struct amount free = exec_free(e);
+
+	if (!amount_fits(&t->need, &free))
+		return false;
+	return !t->step->spec->spread_max || on_runner(e, t) < t->step->spec->spread_max;
+}
+
+/* Lower is better: near the data first, then the tightest fit. */
+static int64_t rate(const struct target *t, const struct exec *e)
+{
+	struct amount free = exec_free(e);
+	int64_t score = 0;
+
+	if (*t->step->spec->rack && g_strcmp0(e->rack, t->step->spec->rack) != 0)
+		score += 1000000;
+	score += (free.accel - t->need.accel) * 10000;
+	score += (free.cpu_milli - t->need.cpu_milli) * 1000 / MAX(e->room.cpu_milli, 1);
+	return score;
+}
+
+static struct exec *choose(const struct pass *pass, const struct target *t, uint32_t avoid,
+			   const char *rack)
+{
+	int64_t valid_ms = pass->s->now_ms + ORDER_MARGIN_MS;
+	struct exec *best = NULL;
+	int64_t best_score = 0;
+
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		struct exec *e = t->pool->exec->pdata[i];
+		int64_t score;
+
+		if (e->handle + 1 == avoid || (rack && g_strcmp0(e->rack, rack) != 0))
+			continue;
+		if (!suits(t, e) || !has_room(t, e))
+			continue;
+		if (t->advised && !advice_ticket(t->step->advice, e->handle, valid_ms))
+			continue;
+		score = rate(t, e);
+		if (!best || score < best_score) {
+			best = e;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static bool task_waits(const struct pass *pass, const struct plan_task *task)
+{
+	return !task->done && !task->live && task->ready_ms <= pass->s->now_ms;
+}
+
+static void place(struct pass *pass, const struct target *t, uint32_t task, struct exec *e)
+{
+	const char *ticket =
+		t->advised ? advice_ticket(t->step->advice, e->handle, pass->s->now_ms) : NULL;
+
+	scheduler_plan_run(pass->s, t->plan, task, e, ticket);
+}
+
+static int by_free(gconstpointer a, gconstpointer b)
+{
+	struct amount x = exec_free(*(struct exec *const *)a);
+	struct amount y = exec_free(*(struct exec *const *)b);
+
+	if (x.accel != y.accel)
+		return x.accel > y.accel ? -1 : 1;
+	return x.cpu_milli > y.cpu_milli ? -1 : x.cpu_milli < y.cpu_milli;
+}
+
+static void add_candidates(const struct target *t, GPtrArray *out, enum verdict verdict, bool room)
+{
+	GPtrArray *found = g_ptr_array_new();
+
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		struct exec *e = t->pool->exec->pdata[i];
+
+		if (suits(t, e) && (!room || has_room(t, e)) &&
+		    advice_verdict(t->step->advice, e->handle) == verdict)
+			g_ptr_array_add(found, e);
+	}
+	g_ptr_array_sort(found, by_free);
+	for (guint i = 0; i < found->len && out->len < ASK_NAMES_MAX; i++)
+		g_ptr_array_add(out, found->pdata[i]);
+	g_ptr_array_unref(found);
+}
+
+static uint32_t places_for(const struct target *t, const GPtrArray *exec)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < exec->len; i++) {
+		struct amount free = exec_free(exec->pdata[i]);
+
+		for (uint32_t k = 0; k < t->step->spec->count && amount_fits(&t->need, &free); k++) {
+			amount_sub(&free, &t->need);
+			n++;
+		}
+	}
+	return n;
+}
+
+static void send_question(struct pass *pass, const struct target *t, const GPtrArray *exec)
+{
+	struct scheduler *s = pass->s;
+	const struct queue *q = queues_find(s->queues, t->plan->job->queue);
+	g_autofree const char **names = g_new(const char *, exec->len);
+	char step[TASK_NAME_BYTES];
+	uint64_t cost_us = q ? q->decide_us + (uint64_t)q->interval_us * exec->len : 0;
+
+	for (guint i = 0; i < exec->len; i++)
+		names[i] = ((const struct exec *)exec->pdata[i])->id;
+	plan_step_name(t->plan, t->step, step);
+	t->step->advice->asking = true;
+	t->step->advice->cost_us = cost_us;
+	s->asking_us += cost_us;
+	s->sums.asks++;
+	s->ops->ask(s->ctx, step, names, exec->len, cost_us);
+}
+
+static bool slow_to_ask(const struct pass *pass, const struct target *t)
+{
+	const struct queue *q = queues_find(pass->s->queues, t->plan->job->queue);
+
+	return q && q->decide_us >= ASK_AHEAD_US;
+}
+
+static void ask(struct pass *pass, const struct target *t, uint32_t waiting)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+
+	if (!t->step->advice)
+		t->step->advice = advice_create();
+	if (t->step->advice->asking ||
+	    pass->s->asking_us > (uint64_t)ASK_LOAD_US * MAX(pass->s->helpers, 1))
+		return;
+	add_candidates(t, exec, VERDICT_APPROVED, true);
+	if (places_for(t, exec) < waiting)
+		add_candidates(t, exec, VERDICT_UNKNOWN, true);
+	if (exec->len == 0 && t->pool->ahead < ASK_AHEAD_STEPS && slow_to_ask(pass, t)) {
+		t->pool->ahead++;
+		for (guint i = 0; i < t->pool->exec->len; i++) {
+			struct exec *e = t->pool->exec->pdata[i];
+
+			/* Those that are valid for a while yet need no question. */
+			if (advice_ticket(t->step->advice, e->handle,
+					  pass->s->now_ms + 2 * ORDER_MARGIN_MS))
+				return;
+		}
+		add_candidates(t, exec, VERDICT_APPROVED, false);
+		if (exec->len == 0)
+			add_candidates(t, exec, VERDICT_UNKNOWN, false);
+	}
+	if (exec->len)
+		send_question(pass, t, exec);
+}
+
+/* Sets room aside for tasks that only wait for the advisor's answer. */
+static void hope(const struct target *t, uint32_t waiting)
+{
+	for (; waiting; waiting--) {
+		struct exec *best = NULL;
+
+		for (guint i = 0; i < t->pool->exec->len; i++) {
+			struct exec *e = t->pool->exec->pdata[i];
+
+			if (suits(t, e) && has_room(t, e) &&
+			    (!best || rate(t, e) < rate(t, best)))
+				best = e;
+		}
+		if (!best)
+			return;
+		amount_add(&best->hoped, &t->need);
+	}
+}
+
+/* Keeps the runners that will be free first from work of lower rank. */
+static void keep_room(const struct target *t, uint32_t waiting)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+
+	if (t->pool->blocked >= BLOCKED_GANGS)
+		return;
+	t->pool->blocked++;
+	for (guint i = 0; i < t->pool->exec->len; i++)
+		if (suits(t, t->pool->exec->pdata[i]))
+			g_ptr_array_add(exec, t->pool->exec->pdata[i]);
+	g_ptr_array_sort(exec, by_free);
+	for (guint i = 0; i < exec->len && waiting; i++, waiting--)
+		amount_add(&((struct exec *)exec->pdata[i])->hoped, &t->need);
+}
+
+static void place_tasks(struct pass *pass, const struct target *t)
+{
+	const Cell__Step *spec = t->step->spec;
+	uint32_t waiting = 0;
+	bool full = false;
+
+	for (uint32_t i = 0; i < spec->count; i++) {
+		uint32_t task = t->step->first_task + i;
+		struct exec *e = NULL;
+
+		if (!task_waits(pass, &t->plan->task[task]))
+			continue;
+		if (!full)
+			e = choose(pass, t, t->plan->task[task].avoid, NULL);
+		if (e)
+			place(pass, t, task, e);
+		else
+			waiting++;
+		full = full || (!e && !t->plan->task[task].avoid);
+	}
+	if (waiting && t->advised) {
+		ask(pass, t, waiting);
+		hope(t, waiting);
+	}
+}
+
+/* Finds room for all members in rack (NULL for any); false and nothing taken if there is none. */
+static bool find_gang(const struct pass *pass, const struct target *t, const char *rack,
+		      struct exec **out)
+{
+	uint32_t n = 0;
+
+	for (; n < t->step->spec->count; n++) {
+		out[n] = choose(pass, t, t->plan->task[t->step->first_task + n].avoid, rack);
+		if (!out[n])
+			break;
+		amount_add(&out[n]->hoped, &t->need);
+	}
+	for (uint32_t i = 0; i < n; i++)
+		amount_sub(&out[i]->hoped, &t->need);
+	return n == t->step->spec->count;
+}
+
+static bool find_gang_rack(const struct pass *pass, const struct target *t, struct exec **out)
+{
+	if (!t->step->spec->one_rack)
+		return find_gang(pass, t, NULL, out);
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		const struct exec *e = t->pool->exec->pdata[i];
+
+		if (e->rack && find_gang(pass, t, e->rack, out))
+			return true;
+	}
+	return false;
+}
+
+/* The members of a gang share the number of their run. */
+static void place_members(struct pass *pass, const struct target *t, struct exec **exec)
+{
+	uint32_t first = t->step->first_task;
+	uint32_t last = 0;
+
+	for (uint32_t i = 0; i < t->step->spec->count; i++)
+		last = MAX(last, t->plan->task[first + i].run);
+	for (uint32_t i = 0; i < t->step->spec->count; i++) {
+		t->plan->task[first + i].run = last;
+		place(pass, t, first + i, exec[i]);
+	}
+}
+
+static void place_gang(struct pass *pass, const struct target *t)
+{
+	const Cell__Step *spec = t->step->spec;
+	g_autofree struct exec **exec = NULL;
+
+	for (uint32_t i = 0; i < spec->count; i++)
+		if (!task_waits(pass, &t->plan->task[t->step->first_task + i]))
+			return;
+	exec = g_new0(struct exec *, spec->count);
+	if (find_gang_rack(pass, t, exec)) {
+		place_members(pass, t, exec);
+		return;
+	}
+	if (t->advised)
+		ask(pass, t, spec->count);
+	keep_room(t, spec->count);
+}
+
+static void place_step(struct pass *pass, struct plan *p, struct plan_step *step)
+{
+	const struct queue *q = queues_find(pass->s->queues, p->job->queue);
+	struct target t = { .plan = p, .step = step };
+
+	t.pool = g_hash_table_lookup(pass->pool, q ? q->service : p->job->service);
+	if (!t.pool)
+		return;
+	t.need = scheduler_need(step->spec);
+	t.advised = q ? q->advised : p->job->advised;
+	if (step->spec->gang)
+		place_gang(pass, &t);
+	else
+		place_tasks(pass, &t);
+}
+
+static void place_job(struct pass *pass, struct plan *p)
+{
+	for (uint32_t i = 0; i < p->n_step; i++) {
+		struct plan_step *step = &p->step[i];
+
+		if (step->done + step->live < step->spec->count &&
+		    plan_step_ready(p, step, pass->s->wall_ms))
+			place_step(pass, p, step);
+	}
+}
+
+void pick_tasks(struct scheduler *s)
+{
+	struct pass pass = { .s = s };
+
+	if (!s->queues)
+		return;
+	if (s->unsorted)
+		g_ptr_array_sort(s->open, by_order);
+	s->unsorted = false;
+	gather(&pass);
+	for (guint i = 0; i < s->open->len; i++) {
+		struct plan *p = s->open->pdata[i];
+
+		if (!plan_ended(p))
+			place_job(&pass, p);
+	}
+	g_hash_table_unref(pass.pool);
+}
--- /dev/null
+++ b/packages/cell/process/progress.c
@@ -0,0 +1,99 @@
+#include "scheduler_priv.h"
+
+void scheduler_mark(struct scheduler *s, struct plan *p)
+{
+	if (p->dirty)
+		return;
+	p->dirty = true;
+	g_ptr_array_add(s->dirty, p);
+}
+
+static void add_task(Cell__TaskProgress *t, const struct plan_task *task, uint32_t number)
+{
+	*t = (Cell__TaskProgress)CELL__TASK_PROGRESS__INIT;
+	t->task = number;
+	t->run = task->run;
+	t->failures = task->failures;
+	t->done = task->done;
+	if (task->checkpoint)
+		t->checkpoint = task->checkpoint;
+	if (task->live) {
+		t->runner = task->live->exec->id;
+		t->born_ms = task->live->exec->born_ms;
+	}
+}
+
+uint8_t *plan_progress(const struct plan *p, size_t *size)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	g_autofree Cell__TaskProgress *row = g_new(Cell__TaskProgress, p->n_task);
+	g_autofree Cell__TaskProgress **rows = g_new(Cell__TaskProgress *, p->n_task);
+	uint8_t *buf;
+
+	m.state = p->state;
+	m.ended_ms = p->ended_ms;
+	m.task = rows;
+	for (uint32_t i = 0; i < p->n_task; i++) {
+		if (!p->task[i].run)
+			continue;
+		add_task(&row[m.n_task], &p->task[i], i);
+		rows[m.n_task] = &row[m.n_task];
+		m.n_task++;
+	}
+	*size = cell__progress__get_packed_size(&m);
+	buf = g_malloc(*size + 1);
+	cell__progress__pack(&m, buf);
+	/* An empty value would drop the key: field 0 is skipped by every reader. */
+	if (*size == 0) {
+		m.ended_ms = -1;
+		*size = cell__progress__get_packed_size(&m);
+		g_free(buf);
+		buf = g_malloc(*size);
+		cell__progress__pack(&m, buf);
+	}
+	return buf;
+}
+
+static void record_free(gpointer data)
+{
+	struct log_record *r = data;
+
+	g_free(r->key);
+	g_free(r->value);
+	g_free(r);
+}
+
+/* Intents of this batch are in it; those of later starts are not. */
+static void stamp_intents(struct scheduler *s)
+{
+	for (guint i = 0; i < s->planned->len; i++) {
+		struct run *r = s->planned->pdata[i];
+
+		if (!r->batch)
+			r->batch = s->batch_next;
+	}
+}
+
+void progress_write(struct scheduler *s)
+{
+	GPtrArray *records;
+
+	if (s->writing || s->dirty->len == 0)
+		return;
+	records = g_ptr_array_new_with_free_func(record_free);
+	for (guint i = 0; i < s->dirty->len; i++) {
+		struct plan *p = s->dirty->pdata[i];
+		struct log_record *r = g_new0(struct log_record, 1);
+
+		r->key = g_strdup_printf("%s/p", p->id);
+		r->value = plan_progress(p, &r->size);
+		g_ptr_array_add(records, r);
+		p->dirty = false;
+		p->written_state = p->state;
+		p->written_batch = s->batch_next;
+	}
+	g_ptr_array_set_size(s->dirty, 0);
+	stamp_intents(s);
+	s->writing = true;
+	s->ops->write(s->ctx, s->batch_next++, records);
+}
--- /dev/null
+++ b/packages/cell/process/scheduler.c
@@ -0,0 +1,670 @@
+#define G_LOG_DOMAIN "scheduler"
+
+#include <string.h>
+
+#include "scheduler_priv.h"
+
+#define LOOK_WAIT_MS	  1500 /* a look waits for an end that long; below the platform's 2 s */
+#define LOOK_IDLE_MS	  4000 /* between looks at a runner on which nothing runs */
+#define LOOK_RETRY_MS	  150  /* after a look without an answer; grows with each */
+#define LOOK_RETRY_MAX_MS 1000
+#define STOP_RETRY_MS	  700  /* a stop without an answer is sent again after that */
+#define ORDERS_MAX	  2    /* a start without an answer is sent that often, then stopped */
+#define RETRY_MS	  50   /* a task that was refused waits that long */
+#define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
+#define IDLE_TICK_MS	  1000
+
+static void run_link(struct plan *p, struct run *r)
+{
+	p->task[r->task].live = r;
+	plan_step_of(p, r->task)->live++;
+	p->live++;
+}
+
+static void open_job(struct scheduler *s, struct plan *p)
+{
+	if (p->listed)
+		return;
+	p->listed = true;
+	g_ptr_array_add(s->open, p);
+	s->unsorted = true;
+}
+
+struct amount scheduler_need(const Cell__Step *spec)
+{
+	return (struct amount){ .cpu_milli = spec->filler ? 0 : spec->cpu_milli,
+				.mem_bytes = (int64_t)spec->mem_bytes,
+				.accel = spec->accel };
+}
+
+bool scheduler_usable(const struct scheduler *s, const struct exec *e)
+{
+	return e->contacted && !e->gone && !e->draining && e->misses == 0 &&
+	       e->barred_until_ms <= s->now_ms;
+}
+
+static struct run *run_create(struct scheduler *s, struct plan *p, uint32_t task, uint32_t no)
+{
+	struct run *r = g_new0(struct run, 1);
+
+	r->plan = p;
+	r->task = task;
+	r->no = no;
+	r->need = scheduler_need(plan_step_of(p, task)->spec);
+	r->planned_ms = s->now_ms;
+	return r;
+}
+
+struct run *scheduler_plan_run(struct scheduler *s, struct plan *p, uint32_t task, struct exec *e,
+			       const char *ticket)
+{
+	struct run *r = run_create(s, p, task, p->task[task].run + 1);
+
+	p->task[task].run = r->no;
+	r->ticket = g_strdup(ticket);
+	exec_take(e, r);
+	run_link(p, r);
+	g_ptr_array_add(s->planned, r);
+	scheduler_mark(s, p);
+	return r;
+}
+
+void scheduler_drop_run(struct scheduler *s, struct run *r)
+{
+	struct plan *p = r->plan;
+
+	g_ptr_array_remove_fast(s->planned, r);
+	p->task[r->task].live = NULL;
+	plan_step_of(p, r->task)->live--;
+	p->live--;
+	scheduler_mark(s, p);
+	exec_release(r->exec, r);
+}
+
+void scheduler_lose_run(struct scheduler *s, struct run *r)
+{
+	struct plan *p = r->plan;
+	struct plan_step *step = plan_step_of(p, r->task);
+
+	s->sums.lapsed++;
+	scheduler_drop_run(s, r);
+	if (step->spec->gang)
+		scheduler_stop_gang(s, p, step);
+}
+
+static void order_stop(struct scheduler *s, struct run *r)
+{
+	char name[TASK_NAME_BYTES];
+
+	r->stop_sent_ms = s->now_ms;
+	plan_task_name(r->plan, r->task, name);
+	s->ops->stop(s->ctx, r->exec->id, r->exec->address, name, r->no);
+}
+
+void scheduler_stop_run(struct scheduler *s, struct run *r)
+{
+	if (r->stopping)
+		return;
+	r->stopping = true;
+	/* One that was sent is stopped after its answer, which is due soon. */
+	if (r->state == RUN_ON || r->state == RUN_DOUBT)
+		order_stop(s, r);
+}
+
+void scheduler_stop_gang(struct scheduler *s, struct plan *p, struct plan_step *step)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->live; i++) {
+		struct run *r = p->task[step->first_task + i].live;
+
+		if (r)
+			scheduler_stop_run(s, r);
+	}
+}
+
+static void stop_all(struct scheduler *s, struct plan *p)
+{
+	for (uint32_t i = 0; i < p->n_task && p->live; i++)
+		if (p->task[i].live)
+			scheduler_stop_run(s, p->task[i].live);
+}
+
+void scheduler_end_job(struct scheduler *s, struct plan *p, enum job_state state)
+{
+	p->state = state;
+	p->ended_ms = s->wall_ms;
+	stop_all(s, p);
+	scheduler_mark(s, p);
+}
+
+struct run *scheduler_find_run(struct scheduler *s, const char *runner, const char *task,
+			       uint32_t no)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	uint32_t number;
+	struct plan *p;
+	struct run *r;
+
+	if (!plan_parse_name(task, id, &occurrence, &step, &index))
+		return NULL;
+	p = book_find(s->book, id);
+	number = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
+	if (number == UINT32_MAX)
+		return NULL;
+	r = p->task[number].live;
+	return r && r->no == no && g_str_equal(r->exec->id, runner) ? r : NULL;
+}
+
+/* The runner's life is over, and all that ran there with it. */
+static void lose_runs(struct scheduler *s, struct exec *e)
+{
+	while (e->run->len)
+		scheduler_lose_run(s, e->run->pdata[e->run->len - 1]);
+}
+
+static struct exec *add_exec(struct scheduler *s, const struct runner_info *info)
+{
+	struct exec *e = exec_create(info, s->next_handle++);
+
+	e->look_ms = s->now_ms;
+	e->granted_until_ms = s->now_ms + s->conf.inherited_ms;
+	g_hash_table_replace(s->exec, e->id, e);
+	return e;
+}
+
+/* info may point into the old life. */
+static void new_life(struct scheduler *s, struct exec *e, const struct runner_info *info)
+{
+	g_info("runner %s was born again, %u runs are over", e->id, e->run->len);
+	lose_runs(s, e);
+	add_exec(s, info);
+}
+
+void scheduler_runner(struct scheduler *s, const struct runner_info *info, int64_t now_ms)
+{
+	struct exec *e = g_hash_table_lookup(s->exec, info->id);
+
+	s->now_ms = now_ms;
+	if (!e) {
+		add_exec(s, info);
+		return;
+	}
+	if (info->born_ms > e->born_ms && e->born_ms)
+		new_life(s, e, info);
+	else if (info->born_ms == e->born_ms || !e->born_ms)
+		exec_update(e, info);
+}
+
+void scheduler_runner_gone(struct scheduler *s, const char *id, int64_t now_ms)
+{
+	struct exec *e = g_hash_table_lookup(s->exec, id);
+
+	s->now_ms = now_ms;
+	if (e)
+		e->gone = true;
+}
+
+/* Runs that the store knows of: each may exist until its runner says otherwise. */
+static void inherit(struct scheduler *s, struct plan *p, const Cell__TaskProgress *t)
+{
+	struct exec *e;
+	struct run *r;
+
+	if (t->done || !*t->runner || t->task >= p->n_task)
+		return;
+	e = g_hash_table_lookup(s->exec, t->runner);
+	if (!e) {
+		const struct runner_info unknown = { .id = t->runner, .born_ms = t->born_ms };
+
+		e = add_exec(s, &unknown);
+		e->gone = true;
+	}
+	if (t->born_ms < e->born_ms)
+		return;
+	r = run_create(s, p, t->task, t->run);
+	r->state = RUN_DOUBT;
+	r->inherited = true;
+	exec_take(e, r);
+	run_link(p, r);
+}
+
+static void take_over(void *ctx, struct plan *p)
+{
+	struct scheduler *s = ctx;
+
+	p->started = p->started || (p->stored && p->stored->n_task > 0);
+	for (size_t i = 0; p->stored && i < p->stored->n_task; i++)
+		inherit(s, p, p->stored->task[i]);
+	scheduler_job(s, p, s->now_ms);
+}
+
+void scheduler_job(struct scheduler *s, struct plan *p, int64_t now_ms)
+{
+	s->now_ms = now_ms;
+	if (plan_ended(p)) {
+		if (p->live) {
+			open_job(s, p);
+			stop_all(s, p);
+		}
+		return;
+	}
+	open_job(s, p);
+	if (p->cancelled)
+		scheduler_end_job(s, p, JOB_CANCELLED);
+}
+
+void scheduler_job_dropped(struct scheduler *s, struct plan *p)
+{
+	while (p->live) {
+		for (uint32_t i = 0; i < p->n_task; i++)
+			if (p->task[i].live)
+				scheduler_drop_run(s, p->task[i].live);
+	}
+	for (uint32_t i = 0; i < p->n_step; i++) {
+		if (p->step[i].advice && p->step[i].advice->asking)
+			s->asking_us -= p->step[i].advice->cost_us;
+		g_clear_pointer(&p->step[i].advice, advice_destroy);
+	}
+	g_ptr_array_remove(s->open, p);
+	g_ptr_array_remove_fast(s->dirty, p);
+}
+
+static void free_exec(gpointer data)
+{
+	exec_destroy(data);
+}
+
+struct scheduler *scheduler_create(const struct scheduler_conf *conf, struct book *book,
+				   const struct scheduler_ops *ops, void *ctx, int64_t now_ms)
+{
+	struct scheduler *s = g_new0(struct scheduler, 1);
+
+	s->conf = *conf;
+	s->book = book;
+	s->ops = ops;
+	s->ctx = ctx;
+	s->now_ms = now_ms;
+	s->wall_ms = g_get_real_time() / 1000;
+	s->batch_next = 1;
+	s->exec = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_exec);
+	s->open = g_ptr_array_new();
+	s->dirty = g_ptr_array_new();
+	s->planned = g_ptr_array_new();
+	book_each(book, take_over, s);
+	return s;
+}
+
+static void forget_plan(void *ctx, struct plan *p)
+{
+	for (uint32_t i = 0; i < p->n_task; i++)
+		p->task[i].live = NULL;
+	for (uint32_t i = 0; i < p->n_step; i++) {
+		g_clear_pointer(&p->step[i].advice, advice_destroy);
+		p->step[i].live = 0;
+	}
+	p->live = 0;
+	p->dirty = false;
+	p->listed = false;
+}
+
+void scheduler_destroy(struct scheduler *s)
+{
+	if (!s)
+		return;
+	book_each(s->book, forget_plan, NULL);
+	g_ptr_array_unref(s->planned);
+	g_ptr_array_unref(s->dirty);
+	g_ptr_array_unref(s->open);
+	g_hash_table_unref(s->exec);
+	g_free(s);
+}
+
+void scheduler_set_helpers(struct scheduler *s, uint32_t n)
+{
+	s->helpers = n;
+}
+
+void scheduler_configure(struct scheduler *s, const struct queues *q)
+{
+	s->queues = q;
+}
+
+static void fenced(struct scheduler *s, const char *by)
+{
+	if (s->fenced)
+		return;
+	s->fenced = true;
+	s->ops->fenced(s->ctx, by);
+}
+
+static void order_start(struct scheduler *s, struct run *r)
+{
+	char name[TASK_NAME_BYTES];
+	const struct plan_task *t = &r->plan->task[r->task];
+	struct start_order order = {
+		.runner = r->exec->id,
+		.address = r->exec->address,
+		.task = name,
+		.payload = r->plan->job->payload,
+		.ticket = r->ticket,
+		.checkpoint = t->checkpoint,
+		.run = r->no,
+		.deadline_ms = exec_grant(r->exec, s->conf.lease_ms, s->now_ms),
+	};
+
+	plan_task_name(r->plan, r->task, name);
+	r->state = RUN_SENT;
+	r->sent_ms = s->now_ms;
+	r->orders++;
+	s->sums.starts++;
+	s->ops->start(s->ctx, &order);
+}
+
+/* The order surely did nothing; the task may be placed anew. */
+static void start_refused(struct scheduler *s, struct run *r, int64_t wait_ms)
+{
+	struct plan *p = r->plan;
+	struct plan_step *step = plan_step_of(p, r->task);
+
+	s->sums.refused++;
+	p->task[r->task].ready_ms = s->now_ms + wait_ms;
+	scheduler_drop_run(s, r);
+	if (step->spec->gang)
+		scheduler_stop_gang(s, p, step);
+}
+
+static void start_unanswered(struct scheduler *s, struct run *r)
+{
+	r->state = RUN_DOUBT;
+	if (r->stopping || r->orders >= ORDERS_MAX) {
+		r->stopping = true;
+		order_stop(s, r);
+	} else {
+		order_start(s, r);
+	}
+}
+
+void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       enum start_result result, int64_t clock_ms, int64_t now_ms)
+{
+	struct run *r = scheduler_find_run(s, runner, task, run);
+
+	s->now_ms = now_ms;
+	if (result == START_FENCED) {
+		fenced(s, runner);
+		return;
+	}
+	if (!r || r->state != RUN_SENT)
+		return;
+	if (clock_ms)
+		exec_answered(r->exec, clock_ms, now_ms);
+	if (result == START_OK) {
+		r->state = RUN_ON;
+		r->on_ms = now_ms;
+		r->plan->started = true;
+		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+		if (r->stopping)
+			order_stop(s, r);
+		return;
+	}
+	/* After an order in doubt a refusal says nothing of that first one. */
+	if (r->orders > 1 || result == START_UNKNOWN || result == START_OLD) {
+		if (result == START_UNKNOWN) {
+			start_unanswered(s, r);
+			return;
+		}
+		r->state = RUN_DOUBT;
+		r->stopping = true;
+		order_stop(s, r);
+		return;
+	}
+	if (result == START_NOT_SENT || result == START_REFUSED) {
+		r->exec->misses++;
+		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+	}
+	if (result == START_BAD_TICKET) {
+		struct plan_step *step = plan_step_of(r->plan, r->task);
+
+		if (step->advice)
+			advice_spoil(step->advice, r->exec->handle);
+	}
+	start_refused(s, r, RETRY_MS);
+}
+
+void scheduler_stopped(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       bool answered, int64_t now_ms)
+{
+	struct run *r = scheduler_find_run(s, runner, task, run);
+
+	s->now_ms = now_ms;
+	if (!r || !answered)
+		return;
+	r->stop_answered_ms = now_ms;
+	r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+}
+
+void scheduler_looked(struct scheduler *s, const char *runner, const struct look *look,
+		      int64_t now_ms)
+{
+	struct exec *e = g_hash_table_lookup(s->exec, runner);
+	int64_t sent_ms;
+
+	s->now_ms = now_ms;
+	if (!e)
+		return;
+	sent_ms = e->look_sent_ms;
+	e->looking = false;
+	e->look_ms = now_ms;
+	if (look && look->fenced) {
+		fenced(s, runner);
+		return;
+	}
+	if (look && look->born_ms > e->born_ms && e->born_ms) {
+		struct runner_info info = { .id = runner, .address = e->address,
+					    .service = e->service, .zone = e->zone,
+					    .rack = e->rack, .room = e->room,
+					    .born_ms = look->born_ms };
+
+		for (int i = 0; i < EXEC_LABELS_MAX; i++)
+			info.label[i] = e->label[i];
+		new_life(s, e, &info);
+		return;
+	}
+	if (!look || look->other) {
+		e->misses++;
+		e->look_ms = now_ms + MIN((int64_t)LOOK_RETRY_MS * e->misses, LOOK_RETRY_MAX_MS);
+		return;
+	}
+	if (!e->born_ms)
+		e->born_ms = look->born_ms;
+	exec_answered(e, look->clock_ms, now_ms);
+	looks_read(s, e, look, sent_ms);
+}
+
+void scheduler_advised(struct scheduler *s, const char *step, const char *const *asked,
+		       size_t n_asked, const struct ticket *ticket, size_t n_ticket,
+		       int64_t valid_until_ms, bool answered, int64_t now_ms)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t number;
+	uint32_t index;
+	struct plan *p;
+	struct plan_step *of;
+
+	s->now_ms = now_ms;
+	if (!plan_parse_name(step, id, &occurrence, &number, &index))
+		return;
+	p = book_find(s->book, id);
+	of = p ? plan_step_number(p, occurrence, number) : NULL;
+	if (!of || !of->advice)
+		return;
+	if (of->advice->asking) {
+		of->advice->asking = false;
+		s->asking_us -= of->advice->cost_us;
+	}
+	if (!answered)
+		return;
+	for (size_t i = 0; i < n_asked; i++) {
+		const struct exec *e = g_hash_table_lookup(s->exec, asked[i]);
+		const char *got = NULL;
+
+		for (size_t k = 0; k < n_ticket; k++)
+			if (g_str_equal(ticket[k].runner, asked[i]))
+				got = ticket[k].ticket;
+		if (e && got)
+			advice_approve(of->advice, e->handle, got, valid_until_ms);
+		else if (e)
+			advice_deny(of->advice, e->handle);
+	}
+}
+
+/* What stands in the log may be told to callers; jobs that have ended leave the list. */
+static void show(struct scheduler *s)
+{
+	for (guint i = s->open->len; i > 0; i--) {
+		struct plan *p = s->open->pdata[i - 1];
+
+		if (p->written_batch == s->batch_acked)
+			p->shown = p->written_state;
+		if (plan_ended(p) && p->shown == p->state && !p->live && !p->dirty) {
+			p->listed = false;
+			g_ptr_array_remove_index(s->open, i - 1);
+		}
+	}
+}
+
+void scheduler_written(struct scheduler *s, uint64_t batch, int64_t now_ms)
+{
+	s->now_ms = now_ms;
+	s->writing = false;
+	s->batch_acked = batch;
+	show(s);
+	for (guint i = s->planned->len; i > 0; i--) {
+		struct run *r = s->planned->pdata[i - 1];
+
+		if (!r->batch || r->batch > batch)
+			continue;
+		g_ptr_array_remove_index_fast(s->planned, i - 1);
+		if (r->stopping || !scheduler_usable(s, r->exec))
+			start_refused(s, r, 0);
+		else
+			order_start(s, r);
+	}
+}
+
+static void send_look(struct scheduler *s, struct exec *e)
+{
+	struct look_order order = { .runner = e->id, .address = e->address };
+	bool unwritten = e->seen_batch > s->batch_acked;
+
+	if (!unwritten)
+		e->seen = e->seen_next;
+	order.seen = e->seen;
+	if (e->contacted && e->misses == 0 && !unwritten)
+		order.wait_ms = e->run->len ? LOOK_WAIT_MS : 0;
+	if (e->run->len)
+		order.deadline_ms = exec_grant(e, s->conf.lease_ms, s->now_ms);
+	e->looking = true;
+	e->look_sent_ms = s->now_ms;
+	s->ops->look(s->ctx, &order);
+}
+
+/* Ends have to be in the store before the runner may forget them; the lease goes on meanwhile. */
+static int64_t look_due(const struct scheduler *s, const struct exec *e)
+{
+	if (!e->contacted || e->misses)
+		return e->look_ms;
+	if (e->seen_batch > s->batch_acked)
+		return MAX(e->look_ms, e->granted_until_ms - s->conf.lease_ms / 2);
+	if (e->run->len == 0 && e->seen == e->seen_next)
+		return e->look_ms + LOOK_IDLE_MS;
+	return e->look_ms;
+}
+
+static void check_runs(struct scheduler *s, struct exec *e, int64_t *next)
+{
+	for (guint i = 0; i < e->run->len; i++) {
+		struct run *r = e->run->pdata[i];
+
+		if (!r->stopping || r->stop_answered_ms || r->state == RUN_PLANNED ||
+		    r->state == RUN_SENT)
+			continue;
+		if (s->now_ms - r->stop_sent_ms >= STOP_RETRY_MS)
+			order_stop(s, r);
+		*next = MIN(*next, r->stop_sent_ms + STOP_RETRY_MS);
+	}
+}
+
+/* True if the runner is to be forgotten. */
+static bool check_exec(struct scheduler *s, struct exec *e, int64_t *next)
+{
+	int64_t due;
+
+	if (e->run->len && exec_lapsed(e, s->now_ms)) {
+		g_info("runner %s: the leases of %u runs have ended", e->id, e->run->len);
+		lose_runs(s, e);
+	}
+	if (e->gone && e->run->len == 0 && e->seen_batch <= s->batch_acked)
+		return true;
+	check_runs(s, e, next);
+	if (e->looking || !e->address)
+		return false;
+	due = look_due(s, e);
+	if (due <= s->now_ms)
+		send_look(s, e);
+	else
+		*next = MIN(*next, due);
+	return false;
+}
+
+static void find_expired(void *ctx, struct plan *p)
+{
+	struct scheduler *s = ctx;
+
+	if (plan_ended(p) && p->shown == p->state && !p->listed && !p->dirty &&
+	    p->ended_ms + (int64_t)s->conf.status_keep_ms < s->wall_ms)
+		s->ops->expire(s->ctx, p->id);
+}
+
+int64_t scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms)
+{
+	int64_t next = now_ms + IDLE_TICK_MS;
+	GHashTableIter it;
+	gpointer value;
+
+	s->now_ms = now_ms;
+	s->wall_ms = wall_ms;
+	if (s->fenced)
+		return next;
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (check_exec(s, value, &next))
+			g_hash_table_iter_remove(&it);
+	pick_tasks(s);
+	progress_write(s);
+	if (now_ms >= s->expire_ms) {
+		s->expire_ms = now_ms + EXPIRE_EVERY_MS;
+		book_each(s->book, find_expired, s);
+	}
+	return next;
+}
+
+void scheduler_sums(const struct scheduler *s, struct scheduler_sums *sums)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	*sums = s->sums;
+	sums->open_jobs = s->open->len;
+	sums->runners = g_hash_table_size(s->exec);
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct exec *e = value;
+
+		sums->runs += e->run->len;
+		sums->silent_runners += e->misses > 0 || !e->contacted;
+	}
+}
--- /dev/null
+++ b/packages/cell/process/scheduler.h
@@ -0,0 +1,175 @@
+#ifndef CELL_SCHEDULER_H
+#define CELL_SCHEDULER_H
+
+#include "process/book.h"
+#include "process/exec.h"
+#include "version/queues.h"
+
+/*
+ * scheduler - places the tasks of all jobs on the runners of a cell, follows their runs, and says
+ * what to write to the job log.
+ *
+ * It has no clock and no socket: time is a parameter, effects go through scheduler_ops and their
+ * answers come back by the functions below, in any order and long after.
+ *
+ * A start is ordered only after its intent is in the log. A run that may exist takes room and keeps
+ * its task from being started again until its end is listed by the runner, the runner is known not
+ * to have it, its lease has surely lapsed, or the runner was born again.
+ */
+struct scheduler;
+
+struct start_order {
+	const char *runner;
+	const char *address;
+	const char *task;
+	const char *payload;
+	const char *ticket;	/* NULL for none */
+	const char *checkpoint; /* NULL for none */
+	uint32_t run;
+	int64_t deadline_ms; /* on the runner's clock */
+};
+
+enum start_result {
+	START_OK = 0,
+	START_NOT_SENT, /* no byte of it was written */
+	START_REFUSED,	/* by an unhealthy runner, or another life of it */
+	START_NO_ROOM,
+	START_BAD_TICKET,
+	START_LATE,   /* its lease was over when it came */
+	START_OLD,    /* a run of this number or a higher one has been there */
+	START_FENCED, /* a newer scheduler has been there */
+	START_UNKNOWN,
+};
+
+struct look_order {
+	const char *runner;
+	const char *address;
+	int64_t deadline_ms; /* on the runner's clock; 0 to leave the lease as it is */
+	uint64_t seen;	     /* ends up to here may be forgotten */
+	uint32_t wait_ms;    /* for an end */
+};
+
+enum run_end {
+	END_DONE = 0,
+	END_FAILED,
+	END_STOPPED,
+	END_LAPSED,
+	END_BROKEN, /* another member of its gang ended */
+	END_ALONE,  /* its gang was not complete in time */
+};
+
+struct look_running {
+	const char *task;
+	uint32_t run;
+	const char *checkpoint;
+	uint32_t usage; /* tail of a serving task in ms, else cpu in use in milli */
+};
+
+struct look_ended {
+	uint64_t no;
+	const char *task;
+	uint32_t run;
+	enum run_end end;
+	const char *checkpoint;
+};
+
+/* The answer to a look. */
+struct look {
+	bool fenced; /* a newer scheduler has been there */
+	bool other;  /* another life of the runner answered */
+	int64_t born_ms;
+	int64_t clock_ms;
+	const struct look_running *running;
+	size_t n_running;
+	const struct look_ended *ended;
+	size_t n_ended;
+};
+
+struct log_record {
+	char *key;
+	uint8_t *value; /* NULL to drop the key */
+	size_t size;
+};
+
+struct ticket {
+	const char *runner;
+	const char *ticket;
+};
+
+struct scheduler_ops {
+	void (*start)(void *ctx, const struct start_order *order);
+	void (*stop)(void *ctx, const char *runner, const char *address, const char *task,
+		     uint32_t run);
+	void (*look)(void *ctx, const struct look_order *order);
+	/* cost_us - about how long the advisor takes. */
+	void (*ask)(void *ctx, const char *step, const char *const *runner, size_t n,
+		    uint64_t cost_us);
+	/* write - records (struct log_record) for the scheduler's partition, in one append. */
+	void (*write)(void *ctx, uint64_t batch, GPtrArray *records);
+	/* expire - the job may be dropped from the log. */
+	void (*expire)(void *ctx, const char *id);
+	/* fenced - a newer scheduler is at work; to be destroyed from the loop. */
+	void (*fenced)(void *ctx, const char *by);
+};
+
+struct scheduler_conf {
+	uint32_t lease_ms;	 /* of what runs */
+	uint32_t stop_ms;	 /* a runner takes at most that long to stop a task */
+	uint32_t gang_ms;	 /* a gang's members wait that long for each other */
+	uint32_t status_keep_ms; /* ended jobs are known for that long */
+	/* Runs of an older scheduler may live that long on a runner out of reach. */
+	uint32_t inherited_ms;
+};
+
+struct scheduler *scheduler_create(const struct scheduler_conf *conf, struct book *book,
+				   const struct scheduler_ops *ops, void *ctx, int64_t now_ms);
+void scheduler_destroy(struct scheduler *s);
+
+/* scheduler_configure - the version in force; it has to stay valid until the next call. */
+void scheduler_configure(struct scheduler *s, const struct queues *q);
+/* scheduler_set_helpers - so many processes may ask the advisor at the same time. */
+void scheduler_set_helpers(struct scheduler *s, uint32_t n);
+/* scheduler_runner - a runner as the platform lists it now. */
+void scheduler_runner(struct scheduler *s, const struct runner_info *info, int64_t now_ms);
+void scheduler_runner_gone(struct scheduler *s, const char *id, int64_t now_ms);
+/* scheduler_job - a job of the book is new or was cancelled. */
+void scheduler_job(struct scheduler *s, struct plan *p, int64_t now_ms);
+void scheduler_job_dropped(struct scheduler *s, struct plan *p);
+
+/* Answers to what was ordered. */
+void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       enum start_result result, int64_t clock_ms, int64_t now_ms);
+/* scheduler_stopped - answered is true if the runner has taken the order. */
+void scheduler_stopped(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       bool answered, int64_t now_ms);
+/* scheduler_looked - look is NULL if there was no answer. */
+void scheduler_looked(struct scheduler *s, const char *runner, const struct look *look,
+		      int64_t now_ms);
+/* scheduler_advised - asked is the list that was asked for; ticket those that were approved. */
+void scheduler_advised(struct scheduler *s, const char *step, const char *const *asked,
+		       size_t n_asked, const struct ticket *ticket, size_t n_ticket,
+		       int64_t valid_until_ms, bool answered, int64_t now_ms);
+void scheduler_written(struct scheduler *s, uint64_t batch, int64_t now_ms);
+
+/*
+ * scheduler_tick - does what is due: looks, repeated orders, placement, and a write of what has
+ * changed. Returns when it wants to be called again at the latest.
+ */
+int64_t scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms);
+
+/* Sums for logs and metrics. */
+struct scheduler_sums {
+	uint32_t open_jobs;
+	uint32_t waiting_tasks;
+	uint32_t runs;
+	uint32_t runners;
+	uint32_t silent_runners;
+	uint64_t starts;
+	uint64_t refused;
+	uint64_t ends[END_ALONE + 1];
+	uint64_t lapsed;
+	uint64_t asks;
+};
+void scheduler_sums(const struct scheduler *s, struct scheduler_sums *sums);
+
+#endif
--- /dev/null
+++ b/packages/cell/process/scheduler_priv.h
@@ -0,0 +1,69 @@
+#ifndef CELL_SCHEDULER_PRIV_H
+#define CELL_SCHEDULER_PRIV_H
+
+#include "process/advice.h"
+#include "process/scheduler.h"
+
+/*
+ * Parts of the scheduler: scheduler.c follows runners, jobs and orders, looks.c reads what runners
+ * list, pick.c places tasks, progress.c writes the log.
+ */
+
+/* A ticket or lease has to be valid that much longer than now: intent, way and order take time. */
+#define ORDER_MARGIN_MS 250
+
+struct scheduler {
+	struct scheduler_conf conf;
+	struct book *book;
+	const struct scheduler_ops *ops;
+	void *ctx;
+	const struct queues *queues;
+	GHashTable *exec; /* by id */
+	GPtrArray *open;  /* of struct plan, those that go on or have runs */
+	GPtrArray *dirty; /* of struct plan */
+	GPtrArray *planned; /* of struct run, whose intents are not in the log */
+	uint32_t next_handle;
+	uint64_t batch_next; /* the batch that is written next */
+	uint64_t batch_acked;
+	bool writing;
+	bool unsorted; /* open */
+	uint32_t helpers; /* processes that ask the advisor */
+	uint64_t asking_us; /* time of the advisor that calls under way take */
+	bool fenced;
+	int64_t now_ms;
+	int64_t wall_ms;
+	int64_t expire_ms; /* next search for jobs to drop */
+	struct scheduler_sums sums;
+};
+
+/* scheduler_mark - the job's progress has changed. */
+void scheduler_mark(struct scheduler *s, struct plan *p);
+/* scheduler_plan_run - takes room for a start of the task; its intent goes into the next batch. */
+struct run *scheduler_plan_run(struct scheduler *s, struct plan *p, uint32_t task, struct exec *e,
+			       const char *ticket);
+/* scheduler_drop_run - the run surely doesn't exist any more. */
+void scheduler_drop_run(struct scheduler *s, struct run *r);
+/* scheduler_lose_run - it ended without an end of its own: the task has to run again. */
+void scheduler_lose_run(struct scheduler *s, struct run *r);
+/* scheduler_end_job - the job ends in this state; its runs are stopped. */
+void scheduler_end_job(struct scheduler *s, struct plan *p, enum job_state state);
+/* scheduler_stop_run - stops it as soon as that can be done. */
+void scheduler_stop_run(struct scheduler *s, struct run *r);
+/* scheduler_stop_gang - stops all members that still live. */
+void scheduler_stop_gang(struct scheduler *s, struct plan *p, struct plan_step *step);
+/* scheduler_find_run - NULL if that run of the task is not on the runner. */
+struct run *scheduler_find_run(struct scheduler *s, const char *runner, const char *task,
+			       uint32_t no);
+bool scheduler_usable(const struct scheduler *s, const struct exec *e);
+struct amount scheduler_need(const Cell__Step *spec);
+
+/* looks_read - takes what the runner lists. sent_ms: when it was asked. */
+void looks_read(struct scheduler *s, struct exec *e, const struct look *look, int64_t sent_ms);
+
+/* pick_tasks - places what can start now, and asks for advice where it is missing. */
+void pick_tasks(struct scheduler *s);
+
+/* progress_write - begins to write what has changed, unless a write is under way. */
+void progress_write(struct scheduler *s);
+
+#endif
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "log.h"
+#include "platform.h"
 #include "process/daemon.h"
 
 #define PROGRAM	      "knapweedwheeld"
@@ -57,11 +58,14 @@
 int main(int argc, char **argv)
 {
 	struct arg_file *file = arg_file0("s", "settings", "FILE", "settings of this daemon");
+	struct arg_lit *platform =
+		arg_lit0("p", "platform", "serve on the users' platform, with its settings");
+	struct arg_str *level = arg_str0("l", "log-level", "LEVEL", "with --platform: info");
 	struct arg_lit *check = arg_lit0("c", "check", "check the settings and exit");
 	struct arg_lit *version = arg_lit0("V", "version", "print the version and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { file, check, version, help, end };
+	void *table[] = { file, platform, level, check, version, help, end };
 	int errors = arg_parse(argc, argv, table);
 	int rc = EXIT_SUCCESS;
 
@@ -69,6 +73,8 @@
 		usage(table, stdout);
 	} else if (version->count) {
 		printf("%s %s\n", PROGRAM, KW_VERSION);
+	} else if (!errors && platform->count) {
+		rc = platform_run(level->count ? level->sval[0] : "info");
 	} else if (errors || !file->count) {
 		if (errors)
 			arg_print_errors(stderr, end, PROGRAM);
--- /dev/null
+++ b/packages/node/connection/links.h
@@ -0,0 +1,51 @@
+#ifndef NODE_LINKS_H
+#define NODE_LINKS_H
+
+#include <gio/gio.h>
+
+#include "ports.h"
+#include "process/status.h"
+
+/*
+ * links - framed TCP between the scheduler and the other nodes. Each node keeps one link to the
+ * scheduler; over it states of jobs are asked for, and the scheduler asks for advice.
+ */
+struct links;
+
+/* state is the one that may be shown; known is false if the other side does not schedule it. */
+typedef void (*state_fn)(void *ctx, bool known, enum job_state state);
+
+struct links_ops {
+	/* state - a peer asks; false if this node does not know. */
+	bool (*state)(void *ctx, const char *id, enum job_state *state);
+	/* ask - the scheduler asks this node to ask the advisor; answered by links_advised(). */
+	void (*ask)(void *ctx, uint64_t call, const char *step, const char *const *runner,
+		    size_t n);
+	/* advised - an answer of a node that was asked; answered is false if its link was lost. */
+	void (*advised)(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
+			size_t n, uint32_t validity_ms);
+	/* peers - the number of nodes that are linked to this one has changed. */
+	void (*peers)(void *ctx, uint32_t n);
+};
+
+struct links *links_create(const char *self, const struct links_ops *ops, void *ctx);
+void links_destroy(struct links *l);
+/* links_listen - on ip and port; false with the reason in st. */
+bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
+/* links_follow - keeps a link to address ("IP:PORT"); "" for none. */
+void links_follow(struct links *l, const char *address, uint64_t term);
+/* links_lead - drops the nodes that are linked and are not asked any more, when lead is false. */
+void links_lead(struct links *l, bool lead);
+/* links_ask_state - false if there is no link; else fn is called, at the latest at the time-out. */
+bool links_ask_state(struct links *l, const char *id, state_fn fn, void *ctx);
+/*
+ * links_ask_advice - gives the question to the linked node with the least outstanding work, unless
+ * that is own_us or more; false if there is none such. cost_us: how long the advisor takes.
+ */
+bool links_ask_advice(struct links *l, uint64_t call, const char *step, const char *const *runner,
+		      size_t n, uint64_t cost_us, uint64_t own_us);
+/* links_advised - answer to a question of the scheduler. */
+void links_advised(struct links *l, uint64_t call, bool answered, const struct ticket *ticket,
+		   size_t n, uint32_t validity_ms);
+
+#endif
--- /dev/null
+++ b/packages/node/process/election.h
@@ -0,0 +1,41 @@
+#ifndef NODE_ELECTION_H
+#define NODE_ELECTION_H
+
+#include "ports.h"
+
+/*
+ * election - which node is the scheduler, agreed by a log in the store.
+ *
+ * A claim is appended on the condition that the log ends where the claimant has read it, so one of
+ * several wins. Its offset + 1 is the term, which rises from claim to claim. The holder appends
+ * renewals on the same condition; a node that hears no renewal for ELECTION_LEASE_MS, while the
+ * store answers it, claims. A holder that was not renewed for ELECTION_STOP_MS gives up by itself.
+ */
+#define ELECTION_RENEW_MS 700  /* three renewals may get lost before the lease ends */
+#define ELECTION_LEASE_MS 2400 /* within the platform's bound for a machine out of touch (4 s) */
+#define ELECTION_STOP_MS  8000 /* longer than most outages of the store, in which work goes on */
+
+struct election;
+
+struct election_ops {
+	/* won - this node is the scheduler of this term. */
+	void (*won)(void *ctx, uint64_t term);
+	/* lost - it is not any more. */
+	void (*lost)(void *ctx, const char *why);
+	/* holder - another node is; address is "" if there is none. */
+	void (*holder)(void *ctx, const char *address, uint64_t term);
+};
+
+/* election_create - self names this process, also among restarts; address is for the others. */
+struct election *election_create(const struct store *store, const char *self, const char *address,
+				 const struct election_ops *ops, void *ctx);
+void election_destroy(struct election *e);
+void election_start(struct election *e);
+/* election_release - gives the lease back and never claims again. */
+void election_release(struct election *e);
+/* election_superseded - a runner or the log has seen a higher term. */
+void election_superseded(struct election *e, const char *by);
+/* election_released - the release stands in the log, or there was nothing to release. */
+bool election_released(const struct election *e);
+
+#endif
--- /dev/null
+++ b/packages/node/process/joblog.c
@@ -0,0 +1,569 @@
+#define G_LOG_DOMAIN "joblog"
+
+#include <string.h>
+
+#include "joblog.h"
+#include "log.h"
+
+#define TOPIC		  "keyed.jobs"
+#define PRODUCER	  "scheduler"
+#define PARTS		  2
+#define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
+#define LEAD_WAIT_MS	  1000
+#define LEAD_PAUSE_MS	  15  /* between reads of the scheduler: jobs that come together share one */
+#define RETRY_MS	  80  /* after a refusal or no answer */
+#define APPEND_TIMEOUT_MS 1200
+#define TICK_MS		  20
+#define CALL_BYTES_MAX	  262144 /* of an append; far below the platform's limit of a call */
+
+struct pending {
+	char *key;
+	uint8_t *value;
+	size_t size;
+	int64_t until_ms;
+	bool in_doubt; /* some try had no answer */
+	done_fn fn;
+	void *ctx;
+};
+
+struct waiter {
+	done_fn fn;
+	void *ctx;
+};
+
+/* Reader of one partition. */
+struct reader {
+	struct joblog *log;
+	uint32_t part;
+	uint64_t next;
+	char *after; /* key after which the newest records are read on, NULL once they were read */
+	uint64_t load_next; /* where to read on after that */
+	uint32_t generation; /* answers of older ones are dropped */
+	bool reading;
+	bool end_seen; /* in the refresh under way */
+	int64_t due_ms;
+};
+
+struct joblog {
+	struct store store;
+	const struct joblog_ops *ops;
+	void *ctx;
+	struct book *book;
+	struct reader reader[PARTS];
+	guint timer;
+	GArray *waiter;	     /* of the refresh under way */
+	GArray *waiter_next; /* that came too late for it */
+	bool refreshing;
+	bool leading;
+	bool fencing;
+	bool loaded;
+	uint64_t term;
+	uint64_t seq;
+	done_fn lead_fn;
+	void *lead_ctx;
+	/* Appends of the jobs' partition. */
+	GQueue queue; /* of struct pending */
+	GPtrArray *sent;
+	int64_t append_due_ms;
+	/* Progress. */
+	GPtrArray *batch;
+	uint64_t batch_no;
+	bool batch_sent;
+	int64_t batch_due_ms;
+	GPtrArray *drops; /* keys of progress to drop with the next batch */
+};
+
+struct read_call {
+	struct reader *reader;
+	uint32_t generation;
+};
+
+static void pending_free(struct pending *p)
+{
+	g_free(p->key);
+	g_free(p->value);
+	g_free(p);
+}
+
+static void finish(struct pending *p, enum store_result result)
+{
+	p->fn(p->ctx, result);
+	pending_free(p);
+}
+
+static void on_changed(void *ctx, struct plan *p)
+{
+	struct joblog *j = ctx;
+
+	j->ops->changed(j->ctx, p);
+}
+
+static void on_dropped(void *ctx, struct plan *p)
+{
+	struct joblog *j = ctx;
+
+	j->ops->dropped(j->ctx, p);
+}
+
+static const struct book_ops book_ops = { .changed = on_changed, .dropped = on_dropped };
+
+static void reader_reset(struct reader *r)
+{
+	r->generation++;
+	r->reading = false;
+	r->next = 0;
+	r->load_next = 0;
+	r->due_ms = 0;
+	g_free(r->after);
+	r->after = g_strdup("");
+}
+
+static void reset_book(struct joblog *j)
+{
+	book_destroy(j->book);
+	j->book = book_create();
+	book_watch(j->book, &book_ops, j);
+	for (uint32_t i = 0; i < PARTS; i++)
+		reader_reset(&j->reader[i]);
+}
+
+static bool reads_part(const struct joblog *j, uint32_t part)
+{
+	return !j->leading || part == JOBLOG_JOBS;
+}
+
+static void read_part(struct reader *r);
+
+/* A read that is under way may have been answered before the refresh was asked for. */
+static void begin_refresh(struct joblog *j)
+{
+	j->refreshing = true;
+	for (uint32_t i = 0; i < PARTS; i++) {
+		struct reader *r = &j->reader[i];
+
+		r->end_seen = false;
+		r->generation += r->reading ? 1 : 0;
+		r->reading = false;
+		if (reads_part(j, i))
+			read_part(r);
+	}
+}
+
+static void finish_refresh(struct joblog *j, enum store_result result)
+{
+	GArray *waiter = j->waiter;
+
+	j->refreshing = false;
+	j->waiter = j->waiter_next;
+	j->waiter_next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	if (j->waiter->len)
+		begin_refresh(j);
+	for (guint i = 0; i < waiter->len; i++) {
+		const struct waiter *w = &g_array_index(waiter, struct waiter, i);
+
+		w->fn(w->ctx, result);
+	}
+	g_array_unref(waiter);
+}
+
+static void check_refresh(struct joblog *j)
+{
+	for (uint32_t i = 0; i < PARTS; i++)
+		if (reads_part(j, i) && !j->reader[i].end_seen)
+			return;
+	j->loaded = true;
+	if (j->refreshing)
+		finish_refresh(j, STORE_OK);
+}
+
+static void apply(struct joblog *j, const struct store_page *page)
+{
+	for (size_t i = 0; i < page->n; i++) {
+		const struct store_record *rec = &page->record[i];
+
+		if (!rec->key || !book_apply(j->book, rec->key, rec->value, rec->size))
+			log_warn("read", NULL, "unreadable record at offset %" G_GUINT64_FORMAT,
+				 rec->offset);
+	}
+}
+
+/* A page of the newest records; those that were written meanwhile are read afterwards. */
+static void take_newest(struct reader *r, const struct store_page *page)
+{
+	if (!*r->after)
+		r->load_next = page->next;
+	g_free(r->after);
+	r->after = NULL;
+	if (page->more && page->n) {
+		r->after = g_strdup(page->record[page->n - 1].key);
+		return;
+	}
+	r->next = r->load_next;
+}
+
+static void on_page(void *ctx, enum store_result result, const struct store_page *page)
+{
+	struct read_call *call = ctx;
+	struct reader *r = call->reader;
+	struct joblog *j = r->log;
+	bool current = call->generation == r->generation;
+	bool was_load = r->after != NULL;
+
+	g_free(call);
+	if (!current)
+		return;
+	r->reading = false;
+	r->due_ms = node_now_ms();
+	if (result == STORE_TRIMMED) {
+		/* Records were lost from the log before they were read: start over. */
+		log_warn("read", NULL, "the log was trimmed past offset %" G_GUINT64_FORMAT,
+			 r->next);
+		if (j->leading || j->fencing)
+			j->ops->fenced(j->ctx);
+		else
+			reset_book(j);
+		return;
+	}
+	if (result != STORE_OK) {
+		r->due_ms += RETRY_MS;
+		if (j->refreshing && !j->fencing)
+			finish_refresh(j, result);
+		return;
+	}
+	apply(j, page);
+	if (was_load) {
+		take_newest(r, page);
+		return;
+	}
+	if (page->n)
+		r->next = page->record[page->n - 1].offset + 1;
+	if (r->next < page->next)
+		return;
+	r->end_seen = true;
+	r->due_ms += j->leading ? LEAD_PAUSE_MS : FOLLOW_MS;
+	check_refresh(j);
+}
+
+static void read_part(struct reader *r)
+{
+	struct joblog *j = r->log;
+	struct read_call *call = g_new(struct read_call, 1);
+	bool wait = j->leading && !j->refreshing;
+
+	call->reader = r;
+	call->generation = r->generation;
+	r->reading = true;
+	if (r->after)
+		j->store.ops->newest(j->store.impl, TOPIC, r->part, r->after, on_page, call);
+	else
+		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next, wait ? LEAD_WAIT_MS : 0,
+				   on_page, call);
+}
+
+static void send_appends(struct joblog *j);
+
+static void on_jobs_appended(void *ctx, enum store_result result, uint64_t offset)
+{
+	struct joblog *j = ctx;
+	GPtrArray *sent = j->sent;
+	int64_t now = node_now_ms();
+
+	j->sent = NULL;
+	for (guint i = sent->len; i > 0; i--) {
+		struct pending *p = sent->pdata[i - 1];
+
+		p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
+		if (result == STORE_OK)
+			finish(p, STORE_OK);
+		else if (now + RETRY_MS >= p->until_ms)
+			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
+		else
+			g_queue_push_head(&j->queue, p);
+	}
+	g_ptr_array_unref(sent);
+	j->append_due_ms = result == STORE_OK ? now : now + RETRY_MS;
+	send_appends(j);
+}
+
+static void give_up_late(struct joblog *j, int64_t now)
+{
+	for (GList *i = j->queue.head; i;) {
+		GList *next = i->next;
+		struct pending *p = i->data;
+
+		if (p->until_ms <= now) {
+			g_queue_delete_link(&j->queue, i);
+			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
+		}
+		i = next;
+	}
+}
+
+static void send_appends(struct joblog *j)
+{
+	g_autoptr(GPtrArray) records = NULL;
+	struct append_terms terms = { 0 };
+	int64_t now = node_now_ms();
+	int64_t timeout = APPEND_TIMEOUT_MS;
+	size_t bytes = 0;
+
+	if (j->sent || j->append_due_ms > now)
+		return;
+	give_up_late(j, now);
+	if (g_queue_is_empty(&j->queue))
+		return;
+	records = g_ptr_array_new_with_free_func(g_free);
+	j->sent = g_ptr_array_new();
+	while (!g_queue_is_empty(&j->queue) && bytes < CALL_BYTES_MAX) {
+		struct pending *p = g_queue_pop_head(&j->queue);
+		struct log_record *rec = g_new0(struct log_record, 1);
+
+		rec->key = p->key;
+		rec->value = p->value;
+		rec->size = p->size;
+		bytes += p->size;
+		timeout = MIN(timeout, MAX(p->until_ms - now, RETRY_MS));
+		g_ptr_array_add(records, rec);
+		g_ptr_array_add(j->sent, p);
+	}
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_JOBS, records, &terms, (uint32_t)timeout,
+			     on_jobs_appended, j);
+}
+
+void joblog_append(struct joblog *j, const char *key, uint8_t *value, size_t size, int64_t until_ms,
+		   done_fn fn, void *ctx)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->key = g_strdup(key);
+	p->value = value;
+	p->size = size;
+	p->until_ms = until_ms;
+	p->fn = fn;
+	p->ctx = ctx;
+	g_queue_push_tail(&j->queue, p);
+	send_appends(j);
+}
+
+void joblog_refresh(struct joblog *j, done_fn fn, void *ctx)
+{
+	struct waiter w = { .fn = fn, .ctx = ctx };
+
+	if (j->refreshing) {
+		g_array_append_val(j->waiter_next, w);
+		return;
+	}
+	g_array_append_val(j->waiter, w);
+	begin_refresh(j);
+}
+
+static void send_batch(struct joblog *j);
+
+static void drop_batch(struct joblog *j)
+{
+	g_clear_pointer(&j->batch, g_ptr_array_unref);
+}
+
+static void on_batch_appended(void *ctx, enum store_result result, uint64_t offset)
+{
+	struct joblog *j = ctx;
+	uint64_t batch = j->batch_no;
+
+	j->batch_sent = false;
+	if (!j->batch || !j->leading)
+		return;
+	if (result == STORE_OK) {
+		j->seq++;
+		drop_batch(j);
+		j->ops->written(j->ctx, batch);
+	} else if (result == STORE_FENCED || result == STORE_OUT_OF_SEQUENCE) {
+		log_warn("append", NULL, "progress is written by a newer scheduler");
+		drop_batch(j);
+		j->ops->fenced(j->ctx);
+	} else {
+		j->batch_due_ms = node_now_ms() + RETRY_MS;
+	}
+}
+
+/* A repeated batch has the same sequence number, so that it is appended once. */
+static void send_batch(struct joblog *j)
+{
+	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term, .seq = j->seq };
+
+	j->batch_sent = true;
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, j->batch, &terms,
+			     APPEND_TIMEOUT_MS, on_batch_appended, j);
+}
+
+void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
+{
+	drop_batch(j);
+	j->batch = records;
+	j->batch_no = batch;
+	for (guint i = 0; i < j->drops->len; i++) {
+		struct log_record *rec = g_new0(struct log_record, 1);
+
+		rec->key = g_strdup(j->drops->pdata[i]);
+		g_ptr_array_add(records, rec);
+	}
+	g_ptr_array_set_size(j->drops, 0);
+	if (!j->batch_sent)
+		send_batch(j);
+}
+
+static void on_drop(void *ctx, enum store_result result)
+{
+	if (result != STORE_OK)
+		log_info("drop", NULL, "an old job was not dropped; it is tried again later");
+}
+
+void joblog_drop(struct joblog *j, const char *id)
+{
+	int64_t until_ms = node_now_ms() + APPEND_TIMEOUT_MS;
+	g_autofree char *cancel = g_strdup_printf("%s/c", id);
+
+	g_ptr_array_add(j->drops, g_strdup_printf("%s/p", id));
+	joblog_append(j, cancel, NULL, 0, until_ms, on_drop, j);
+	joblog_append(j, id, NULL, 0, until_ms, on_drop, j);
+}
+
+static void on_lead_read(void *ctx, enum store_result result)
+{
+	struct joblog *j = ctx;
+	done_fn fn = j->lead_fn;
+
+	if (!j->fencing)
+		return;
+	j->fencing = false;
+	j->leading = result == STORE_OK;
+	j->lead_fn = NULL;
+	if (fn)
+		fn(j->lead_ctx, result);
+}
+
+static void on_fenced(void *ctx, enum store_result result, uint64_t offset)
+{
+	struct joblog *j = ctx;
+
+	if (!j->fencing)
+		return;
+	if (result == STORE_OK || result == STORE_OUT_OF_SEQUENCE) {
+		joblog_refresh(j, on_lead_read, j);
+		return;
+	}
+	if (result == STORE_FENCED) {
+		on_lead_read(j, result);
+		return;
+	}
+	j->batch_due_ms = node_now_ms() + RETRY_MS;
+}
+
+static void send_fence(struct joblog *j)
+{
+	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term };
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+
+	j->batch_due_ms = INT64_MAX;
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, none, &terms, APPEND_TIMEOUT_MS,
+			     on_fenced, j);
+}
+
+void joblog_lead(struct joblog *j, uint64_t term, done_fn fn, void *ctx)
+{
+	drop_batch(j);
+	j->term = term;
+	j->seq = 1;
+	j->fencing = true;
+	j->lead_fn = fn;
+	j->lead_ctx = ctx;
+	send_fence(j);
+}
+
+void joblog_follow(struct joblog *j)
+{
+	drop_batch(j);
+	j->leading = false;
+	j->fencing = false;
+	g_ptr_array_set_size(j->drops, 0);
+	reset_book(j);
+}
+
+static void tick_leader(struct joblog *j, int64_t now)
+{
+	if (j->batch_due_ms > now)
+		return;
+	if (j->fencing)
+		send_fence(j);
+	else if (j->batch && !j->batch_sent)
+		send_batch(j);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct joblog *j = data;
+	int64_t now = node_now_ms();
+
+	send_appends(j);
+	if (j->leading || j->fencing)
+		tick_leader(j, now);
+	for (uint32_t i = 0; i < PARTS; i++) {
+		struct reader *r = &j->reader[i];
+
+		if (!r->reading && r->due_ms <= now && reads_part(j, i))
+			read_part(r);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+struct joblog *joblog_create(const struct store *store, const struct joblog_ops *ops, void *ctx)
+{
+	struct joblog *j = g_new0(struct joblog, 1);
+
+	j->store = *store;
+	j->ops = ops;
+	j->ctx = ctx;
+	j->waiter = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	j->waiter_next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	j->drops = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&j->queue);
+	for (uint32_t i = 0; i < PARTS; i++) {
+		j->reader[i].log = j;
+		j->reader[i].part = i;
+	}
+	reset_book(j);
+	return j;
+}
+
+void joblog_start(struct joblog *j)
+{
+	if (!j->timer)
+		j->timer = g_timeout_add(TICK_MS, on_tick, j);
+}
+
+void joblog_destroy(struct joblog *j)
+{
+	if (!j)
+		return;
+	if (j->timer)
+		g_source_remove(j->timer);
+	drop_batch(j);
+	while (!g_queue_is_empty(&j->queue))
+		pending_free(g_queue_pop_head(&j->queue));
+	for (uint32_t i = 0; i < PARTS; i++)
+		g_free(j->reader[i].after);
+	g_array_unref(j->waiter);
+	g_array_unref(j->waiter_next);
+	g_ptr_array_unref(j->drops);
+	book_destroy(j->book);
+	g_free(j);
+}
+
+struct book *joblog_book(struct joblog *j)
+{
+	return j->book;
+}
+
+bool joblog_loaded(const struct joblog *j)
+{
+	return j->loaded;
+}
--- /dev/null
+++ b/packages/node/process/node.c
@@ -0,0 +1,693 @@
+#define G_LOG_DOMAIN "node"
+
+#include <time.h>
+
+#include "connection/links.h"
+#include "election.h"
+#include "helper.h"
+#include "joblog.h"
+#include "log.h"
+#include "node.h"
+
+#define POKE_MS	      4	   /* what happens within it is decided together */
+#define SUMS_EVERY_MS 5000 /* between log lines of what the scheduler has done */
+
+struct node {
+	struct node_conf conf;
+	struct store store;
+	struct runners runners;
+	const struct node_ops *ops;
+	void *ctx;
+	char *self;
+	struct election *election;
+	struct joblog *log;
+	struct links *links;
+	struct helper *helper;
+	struct queues *queues;
+	struct scheduler *scheduler;
+	uint64_t term;
+	uint64_t next_call;
+	GHashTable *asks; /* of struct ask by call */
+	guint timer;
+	int64_t timer_ms;
+	int64_t sums_ms;
+	guint down; /* idle source that steps down */
+	char *down_by;
+	bool stopping;
+};
+
+/* An answer that the scheduler of one term waits for. */
+struct order {
+	struct node *node;
+	uint64_t term;
+	char *runner;
+	char *task;
+	uint32_t run;
+};
+
+struct ask {
+	uint64_t term;
+	char *step;
+	char **runner;
+	size_t n;
+};
+
+int64_t node_now_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_BOOTTIME, &t);
+	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+int64_t node_wall_ms(void)
+{
+	return g_get_real_time() / 1000;
+}
+
+static gboolean on_timer(gpointer data);
+
+static void arm(struct node *n, int64_t at_ms)
+{
+	int64_t now = node_now_ms();
+
+	if (!n->scheduler || (n->timer && n->timer_ms <= at_ms))
+		return;
+	if (n->timer)
+		g_source_remove(n->timer);
+	n->timer_ms = at_ms;
+	n->timer = g_timeout_add((guint)MAX(at_ms - now, 1), on_timer, n);
+}
+
+static void poke(struct node *n)
+{
+	arm(n, node_now_ms() + POKE_MS);
+}
+
+static void log_sums(struct node *n, int64_t now)
+{
+	struct scheduler_sums s;
+
+	if (now < n->sums_ms)
+		return;
+	n->sums_ms = now + SUMS_EVERY_MS;
+	scheduler_sums(n->scheduler, &s);
+	log_info("sums", NULL,
+		 "open jobs %u, runs %u, runners %u (%u silent), starts %" G_GUINT64_FORMAT
+		 ", refused %" G_GUINT64_FORMAT ", done %" G_GUINT64_FORMAT
+		 ", failed %" G_GUINT64_FORMAT ", lost %" G_GUINT64_FORMAT
+		 ", asked %" G_GUINT64_FORMAT,
+		 s.open_jobs, s.runs, s.runners, s.silent_runners, s.starts, s.refused,
+		 s.ends[END_DONE], s.ends[END_FAILED], s.lapsed, s.asks);
+}
+
+static gboolean on_timer(gpointer data)
+{
+	struct node *n = data;
+	int64_t now = node_now_ms();
+	int64_t next;
+
+	n->timer = 0;
+	if (!n->scheduler)
+		return G_SOURCE_REMOVE;
+	next = scheduler_tick(n->scheduler, now, node_wall_ms());
+	log_sums(n, now);
+	arm(n, MAX(next, now + POKE_MS));
+	return G_SOURCE_REMOVE;
+}
+
+static struct order *order_create(struct node *n, const char *runner, const char *task,
+				  uint32_t run)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	o->node = n;
+	o->term = n->term;
+	o->runner = g_strdup(runner);
+	o->task = g_strdup(task);
+	o->run = run;
+	return o;
+}
+
+static void order_free(struct order *o)
+{
+	g_free(o->task);
+	g_free(o->runner);
+	g_free(o);
+}
+
+/* The scheduler that gave the order, NULL if it is gone. */
+static struct scheduler *order_scheduler(const struct order *o)
+{
+	return o->node->term == o->term ? o->node->scheduler : NULL;
+}
+
+static void on_started(void *ctx, const struct started *answer)
+{
+	struct order *o = ctx;
+	struct scheduler *s = order_scheduler(o);
+
+	if (answer->result != START_OK)
+		log_request(LOG_INFO, o->task, "start", o->runner, "run %u: not started (%d)",
+			    o->run, answer->result);
+	if (s) {
+		scheduler_started(s, o->runner, o->task, o->run, answer->result, answer->clock_ms,
+				  node_now_ms());
+		poke(o->node);
+	}
+	order_free(o);
+}
+
+static void start_op(void *ctx, const struct start_order *order)
+{
+	struct node *n = ctx;
+
+	n->runners.ops->start(n->runners.impl, order, n->term, on_started,
+			      order_create(n, order->runner, order->task, order->run));
+}
+
+static void on_stopped(void *ctx, bool answered)
+{
+	struct order *o = ctx;
+	struct scheduler *s = order_scheduler(o);
+
+	if (s) {
+		scheduler_stopped(s, o->runner, o->task, o->run, answered, node_now_ms());
+		poke(o->node);
+	}
+	order_free(o);
+}
+
+static void stop_op(void *ctx, const char *runner, const char *address, const char *task,
+		    uint32_t run)
+{
+	struct node *n = ctx;
+
+	n->runners.ops->stop(n->runners.impl, runner, address, task, run, n->term, on_stopped,
+			     order_create(n, runner, task, run));
+}
+
+static void on_looked(void *ctx, const struct look *look)
+{
+	struct order *o = ctx;
+	struct scheduler *s = order_scheduler(o);
+
+	if (s) {
+		scheduler_looked(s, o->runner, look, node_now_ms());
+		poke(o->node);
+	}
+	order_free(o);
+}
+
+static void look_op(void *ctx, const struct look_order *order)
+{
+	struct node *n = ctx;
+
+	n->runners.ops->look(n->runners.impl, order, n->term, on_looked,
+			     order_create(n, order->runner, NULL, 0));
+}
+
+static void ask_free(gpointer data)
+{
+	struct ask *a = data;
+
+	g_strfreev(a->runner);
+	g_free(a->step);
+	g_free(a);
+}
+
+static void ask_op(void *ctx, const char *step, const char *const *runner, size_t count,
+		   uint64_t cost_us)
+{
+	struct node *n = ctx;
+	struct ask *a = g_new0(struct ask, 1);
+	uint64_t call = ++n->next_call;
+
+	a->term = n->term;
+	a->step = g_strdup(step);
+	a->n = count;
+	a->runner = g_new0(char *, count + 1);
+	for (size_t i = 0; i < count; i++)
+		a->runner[i] = g_strdup(runner[i]);
+	g_hash_table_insert(n->asks, GUINT_TO_POINTER(call), a);
+	/* With equal load another node asks: this one has more to do. */
+	if (!links_ask_advice(n->links, call, step, runner, count, cost_us,
+			      helper_load_us(n->helper) + cost_us))
+		helper_ask(n->helper, call, false, step, runner, count, cost_us);
+}
+
+static void take_advice(struct node *n, uint64_t call, bool answered, const struct ticket *ticket,
+			size_t count, uint32_t validity_ms)
+{
+	struct ask *a = g_hash_table_lookup(n->asks, GUINT_TO_POINTER(call));
+	int64_t now = node_now_ms();
+
+	if (!a)
+		return;
+	if (n->scheduler && a->term == n->term) {
+		scheduler_advised(n->scheduler, a->step, (const char *const *)a->runner, a->n,
+				  ticket, count, now + validity_ms, answered, now);
+		poke(n);
+	}
+	g_hash_table_remove(n->asks, GUINT_TO_POINTER(call));
+}
+
+static void on_helped(void *ctx, uint64_t call, bool remote, bool answered,
+		      const struct ticket *ticket, size_t count, uint32_t validity_ms)
+{
+	struct node *n = ctx;
+
+	if (remote)
+		links_advised(n->links, call, answered, ticket, count, validity_ms);
+	else
+		take_advice(n, call, answered, ticket, count, validity_ms);
+}
+
+static void write_op(void *ctx, uint64_t batch, GPtrArray *records)
+{
+	joblog_write(((struct node *)ctx)->log, batch, records);
+}
+
+static void expire_op(void *ctx, const char *id)
+{
+	joblog_drop(((struct node *)ctx)->log, id);
+}
+
+static gboolean on_down(gpointer data)
+{
+	struct node *n = data;
+
+	n->down = 0;
+	election_superseded(n->election, n->down_by);
+	return G_SOURCE_REMOVE;
+}
+
+/* Called from inside the scheduler or the job log, which the step down changes. */
+static void step_down_soon(struct node *n, const char *by)
+{
+	if (n->down)
+		return;
+	g_free(n->down_by);
+	n->down_by = g_strdup(by);
+	n->down = g_idle_add(on_down, n);
+}
+
+static void fenced_op(void *ctx, const char *by)
+{
+	step_down_soon(ctx, by);
+}
+
+static const struct scheduler_ops scheduler_ops = {
+	.start = start_op,
+	.stop = stop_op,
+	.look = look_op,
+	.ask = ask_op,
+	.write = write_op,
+	.expire = expire_op,
+	.fenced = fenced_op,
+};
+
+static void on_lead(void *ctx, enum store_result result)
+{
+	struct node *n = ctx;
+
+	if (result != STORE_OK) {
+		step_down_soon(n, "the job log");
+		return;
+	}
+	n->scheduler = scheduler_create(&n->conf.scheduler, joblog_book(n->log), &scheduler_ops, n,
+					node_now_ms());
+	scheduler_configure(n->scheduler, n->queues);
+	log_notice("lead", NULL, "scheduling begins with %u jobs, term %" G_GUINT64_FORMAT,
+		   book_count(joblog_book(n->log)), n->term);
+	n->ops->scheduling(n->ctx, true);
+	poke(n);
+}
+
+static void on_won(void *ctx, uint64_t term)
+{
+	struct node *n = ctx;
+
+	n->term = term;
+	links_follow(n->links, "", term);
+	joblog_lead(n->log, term, on_lead, n);
+}
+
+static void on_lost(void *ctx, const char *why)
+{
+	struct node *n = ctx;
+	struct scheduler *s = n->scheduler;
+
+	n->term = 0;
+	n->scheduler = NULL;
+	if (s) {
+		n->ops->scheduling(n->ctx, false);
+		scheduler_destroy(s);
+	}
+	joblog_follow(n->log);
+	links_lead(n->links, false);
+	helper_clear(n->helper, false);
+	g_hash_table_remove_all(n->asks);
+}
+
+static void on_holder(void *ctx, const char *address, uint64_t term)
+{
+	struct node *n = ctx;
+
+	helper_clear(n->helper, true);
+	links_follow(n->links, address, term);
+}
+
+static const struct election_ops election_ops = {
+	.won = on_won,
+	.lost = on_lost,
+	.holder = on_holder,
+};
+
+static void on_job_changed(void *ctx, struct plan *p)
+{
+	struct node *n = ctx;
+
+	if (!n->scheduler)
+		return;
+	scheduler_job(n->scheduler, p, node_now_ms());
+	poke(n);
+}
+
+static void on_job_dropped(void *ctx, struct plan *p)
+{
+	struct node *n = ctx;
+
+	if (n->scheduler)
+		scheduler_job_dropped(n->scheduler, p);
+}
+
+static void on_written(void *ctx, uint64_t batch)
+{
+	struct node *n = ctx;
+
+	if (!n->scheduler)
+		return;
+	scheduler_written(n->scheduler, batch, node_now_ms());
+	poke(n);
+}
+
+static void on_log_fenced(void *ctx)
+{
+	step_down_soon(ctx, "the job log");
+}
+
+static const struct joblog_ops joblog_ops = {
+	.changed = on_job_changed,
+	.dropped = on_job_dropped,
+	.written = on_written,
+	.fenced = on_log_fenced,
+};
+
+/* What may be told of a job; false if only the scheduler or the store can tell. */
+static bool own_state(struct node *n, const char *id, enum job_state *state)
+{
+	const struct plan *p = book_find(joblog_book(n->log), id);
+
+	if (!p || (!n->scheduler && p->shown < JOB_DONE))
+		return false;
+	*state = p->shown == JOB_QUEUED && p->started ? JOB_RUNNING : p->shown;
+	return true;
+}
+
+static bool on_state_asked(void *ctx, const char *id, enum job_state *state)
+{
+	return own_state(ctx, id, state);
+}
+
+static void on_ask(void *ctx, uint64_t call, const char *step, const char *const *runner, size_t n)
+{
+	helper_ask(((struct node *)ctx)->helper, call, true, step, runner, n, 0);
+}
+
+static void on_link_advised(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
+			    size_t n, uint32_t validity_ms)
+{
+	take_advice(ctx, call, answered, ticket, n, validity_ms);
+}
+
+static void on_peers(void *ctx, uint32_t count)
+{
+	struct node *n = ctx;
+
+	if (n->scheduler)
+		scheduler_set_helpers(n->scheduler, count + 1);
+}
+
+static const struct links_ops links_ops = {
+	.state = on_state_asked,
+	.ask = on_ask,
+	.advised = on_link_advised,
+	.peers = on_peers,
+};
+
+struct node *node_create(const struct node_conf *conf, const struct store *store,
+			 const struct runners *runners, const struct advisor *advisor,
+			 const struct node_ops *ops, void *ctx)
+{
+	struct node *n = g_new0(struct node, 1);
+	g_autofree char *address = g_strdup_printf("%s:%u", conf->ip, conf->link_port);
+
+	n->conf = *conf;
+	n->store = *store;
+	n->runners = *runners;
+	n->ops = ops;
+	n->ctx = ctx;
+	n->self = g_strdup_printf("%s/%" G_GINT64_FORMAT, conf->name, g_get_real_time());
+	n->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_free);
+	n->links = links_create(n->self, &links_ops, n);
+	n->helper = helper_create(advisor, on_helped, n);
+	n->log = joblog_create(store, &joblog_ops, n);
+	n->election = election_create(store, n->self, address, &election_ops, n);
+	return n;
+}
+
+bool node_start(struct node *n, struct status *st)
+{
+	if (!links_listen(n->links, n->conf.ip, n->conf.link_port, st))
+		return false;
+	joblog_start(n->log);
+	election_start(n->election);
+	return true;
+}
+
+void node_stop(struct node *n)
+{
+	n->stopping = true;
+	election_release(n->election);
+}
+
+bool node_stopped(const struct node *n)
+{
+	return n->stopping && election_released(n->election);
+}
+
+bool node_ready(const struct node *n)
+{
+	return n->queues && !n->stopping && joblog_loaded(n->log);
+}
+
+void node_configure(struct node *n, struct queues *q)
+{
+	struct queues *old = n->queues;
+
+	n->queues = q;
+	if (n->scheduler) {
+		scheduler_configure(n->scheduler, q);
+		poke(n);
+	}
+	queues_destroy(old);
+}
+
+const struct queues *node_queues(const struct node *n)
+{
+	return n->queues;
+}
+
+void node_runner(struct node *n, const struct runner_info *info)
+{
+	if (!n->scheduler)
+		return;
+	scheduler_runner(n->scheduler, info, node_now_ms());
+	poke(n);
+}
+
+void node_runner_gone(struct node *n, const char *id)
+{
+	if (!n->scheduler)
+		return;
+	scheduler_runner_gone(n->scheduler, id, node_now_ms());
+	poke(n);
+}
+
+bool node_sums(const struct node *n, struct scheduler_sums *sums)
+{
+	if (n->scheduler)
+		scheduler_sums(n->scheduler, sums);
+	return n->scheduler != NULL;
+}
+
+uint32_t node_waiting(const struct node *n, const char *queue)
+{
+	return book_waiting(joblog_book(n->log), queue);
+}
+
+/* A call of a caller that waits for the store. */
+struct intake {
+	struct node *node;
+	char id[JOB_ID_LEN + 1];
+	int64_t until_ms;
+	intake_fn fn;
+	intake_state_fn state_fn;
+	void *ctx;
+};
+
+static struct intake *intake_create(struct node *n, const char *id, void *ctx)
+{
+	struct intake *c = g_new0(struct intake, 1);
+
+	c->node = n;
+	g_strlcpy(c->id, id, sizeof(c->id));
+	c->ctx = ctx;
+	return c;
+}
+
+static enum intake_result intake_result(enum store_result result)
+{
+	if (result == STORE_OK)
+		return INTAKE_OK;
+	return result == STORE_UNKNOWN ? INTAKE_UNKNOWN : INTAKE_REFUSED;
+}
+
+static void on_intake_done(void *ctx, enum store_result result)
+{
+	struct intake *c = ctx;
+
+	c->fn(c->ctx, intake_result(result));
+	g_free(c);
+}
+
+void node_submit(struct node *n, Cell__Job *job, int64_t until_ms, intake_fn fn, void *ctx)
+{
+	struct intake *c;
+	size_t size;
+	uint8_t *value;
+
+	if (book_find(joblog_book(n->log), job->id)) {
+		cell__job__free_unpacked(job, NULL);
+		fn(ctx, INTAKE_OK);
+		return;
+	}
+	c = intake_create(n, job->id, ctx);
+	c->fn = fn;
+	size = cell__job__get_packed_size(job);
+	value = g_malloc(size + 1);
+	cell__job__pack(job, value);
+	joblog_append(n->log, job->id, value, size, until_ms, on_intake_done, c);
+	cell__job__free_unpacked(job, NULL);
+}
+
+static void append_cancel(struct intake *c)
+{
+	g_autofree char *key = g_strdup_printf("%s/c", c->id);
+	uint8_t *value = g_malloc(1);
+
+	value[0] = 1;
+	joblog_append(c->node->log, key, value, 1, c->until_ms, on_intake_done, c);
+}
+
+static void on_cancel_refreshed(void *ctx, enum store_result result)
+{
+	struct intake *c = ctx;
+
+	if (result == STORE_OK && !book_find(joblog_book(c->node->log), c->id)) {
+		c->fn(c->ctx, INTAKE_NOT_FOUND);
+		g_free(c);
+	} else if (result == STORE_OK) {
+		append_cancel(c);
+	} else {
+		on_intake_done(c, STORE_REFUSED);
+	}
+}
+
+void node_cancel(struct node *n, const char *id, int64_t until_ms, intake_fn fn, void *ctx)
+{
+	struct intake *c = intake_create(n, id, ctx);
+
+	c->fn = fn;
+	c->until_ms = until_ms;
+	if (book_find(joblog_book(n->log), id))
+		append_cancel(c);
+	else
+		joblog_refresh(n->log, on_cancel_refreshed, c);
+}
+
+static void finish_state(struct intake *c, enum intake_result result, enum job_state state)
+{
+	c->state_fn(c->ctx, result, state);
+	g_free(c);
+}
+
+static void on_state_refreshed(void *ctx, enum store_result result)
+{
+	struct intake *c = ctx;
+	const struct plan *p = book_find(joblog_book(c->node->log), c->id);
+
+	if (result != STORE_OK)
+		finish_state(c, INTAKE_REFUSED, JOB_QUEUED);
+	else if (!p)
+		finish_state(c, INTAKE_NOT_FOUND, JOB_QUEUED);
+	else
+		finish_state(c, INTAKE_OK,
+			     p->shown == JOB_QUEUED && p->started ? JOB_RUNNING : p->shown);
+}
+
+static void on_state_told(void *ctx, bool known, enum job_state state)
+{
+	struct intake *c = ctx;
+
+	if (known)
+		finish_state(c, INTAKE_OK, state);
+	else
+		joblog_refresh(c->node->log, on_state_refreshed, c);
+}
+
+void node_state(struct node *n, const char *id, intake_state_fn fn, void *ctx)
+{
+	struct intake *c;
+	enum job_state state;
+
+	if (own_state(n, id, &state)) {
+		fn(ctx, INTAKE_OK, state);
+		return;
+	}
+	c = intake_create(n, id, ctx);
+	c->state_fn = fn;
+	if (!links_ask_state(n->links, id, on_state_told, c))
+		joblog_refresh(n->log, on_state_refreshed, c);
+}
+
+void node_destroy(struct node *n)
+{
+	if (!n)
+		return;
+	if (n->timer)
+		g_source_remove(n->timer);
+	if (n->down)
+		g_source_remove(n->down);
+	election_destroy(n->election);
+	scheduler_destroy(n->scheduler);
+	links_destroy(n->links);
+	helper_destroy(n->helper);
+	joblog_destroy(n->log);
+	queues_destroy(n->queues);
+	g_hash_table_unref(n->asks);
+	g_free(n->down_by);
+	g_free(n->self);
+	g_free(n);
+}
--- a/packages/wire/kw.pb-c.c
+++ b/packages/wire/kw.pb-c.c
@@ -2172,7 +2172,7 @@
   (ProtobufCMessageInit) kw__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[13] =
+static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[18] =
 {
   {
     "hello",
@@ -2330,8 +2330,70 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_hello",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, link_hello),
+    &cell__link_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_ask",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, state_ask),
+    &cell__state_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, state_reply),
+    &cell__state_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, advice_ask),
+    &cell__advice_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_reply",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, advice_reply),
+    &cell__advice_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kw__envelope__field_indices_by_name[] = {
+  16,   /* field[16] = advice_ask */
+  17,   /* field[17] = advice_reply */
   1,   /* field[1] = beat */
   3,   /* field[3] = begin */
   2,   /* field[2] = call */
@@ -2340,8 +2402,11 @@
   5,   /* field[5] = credit */
   6,   /* field[6] = end */
   0,   /* field[0] = hello */
+  13,   /* field[13] = link_hello */
   12,   /* field[12] = records */
   11,   /* field[11] = records_ask */
+  14,   /* field[14] = state_ask */
+  15,   /* field[15] = state_reply */
   8,   /* field[8] = vote_ask */
   10,   /* field[10] = vote_finish */
   9,   /* field[9] = vote_reply */
@@ -2349,7 +2414,7 @@
 static const ProtobufCIntRange kw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor kw__envelope__descriptor =
 {
@@ -2359,7 +2424,7 @@
   "Kw__Envelope",
   "kw",
   sizeof(Kw__Envelope),
-  13,
+  18,
   kw__envelope__field_descriptors,
   kw__envelope__field_indices_by_name,
   1,  kw__envelope__number_ranges,
