--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -106,7 +106,7 @@
 	if (!r) {
 		g_info("runner %s runs %s (run %u), which nobody wants", e->id, row->task,
 		       row->run);
-		s->ops->stop(s->ctx, e->id, e->address, row->task, row->run);
+		scheduler_order_stop(s, e, row->task, row->run);
 		return;
 	}
 	r->listed = true;
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -92,13 +92,28 @@
 		scheduler_stop_gang(s, p, step);
 }
 
+static struct route route_to(const struct exec *e, uint32_t tries)
+{
+	return (struct route){ .dc = e->zone, .rank = e->misses + tries };
+}
+
+void scheduler_order_stop(struct scheduler *s, const struct exec *e, const char *task, uint32_t no)
+{
+	struct route route = route_to(e, 0);
+
+	s->ops->stop(s->ctx, &route, e->id, e->address, task, no);
+}
+
 static void order_stop(struct scheduler *s, struct run *r)
 {
 	char name[TASK_NAME_BYTES];
 
+	/* A runner that was taken over from the store may not have been found yet. */
+	if (!r->exec->address)
+		return;
 	r->stop_sent_ms = s->now_ms;
 	plan_task_name(r->plan, r->task, name);
-	s->ops->stop(s->ctx, r->exec->id, r->exec->address, name, r->no);
+	scheduler_order_stop(s, r->exec, name, r->no);
 }
 
 void scheduler_stop_run(struct scheduler *s, struct run *r)
@@ -164,6 +179,19 @@
 		scheduler_lose_run(s, e->run->pdata[e->run->len - 1]);
 }
 
+/* Leases there have ended, and the runs that were ordered with them. */
+static void lose_lapsed(struct scheduler *s, struct exec *e)
+{
+	for (guint i = e->run->len; i > 0; i--) {
+		struct run *r = e->run->pdata[i - 1];
+
+		if (r->state == RUN_PLANNED)
+			continue;
+		g_info("runner %s: the lease of %s task %u has ended", e->id, r->plan->id, r->task);
+		scheduler_lose_run(s, r);
+	}
+}
+
 static struct exec *add_exec(struct scheduler *s, const struct runner_info *info)
 {
 	struct exec *e = exec_create(info, s->next_handle++);
@@ -344,6 +372,7 @@
 	char name[TASK_NAME_BYTES];
 	const struct plan_task *t = &r->plan->task[r->task];
 	struct start_order order = {
+		.route = route_to(r->exec, r->orders),
 		.runner = r->exec->id,
 		.address = r->exec->address,
 		.task = name,
@@ -557,7 +586,9 @@
 
 static void send_look(struct scheduler *s, struct exec *e)
 {
-	struct look_order order = { .runner = e->id, .address = e->address };
+	struct look_order order = { .route = route_to(e, 0),
+				    .runner = e->id,
+				    .address = e->address };
 	bool unwritten = e->seen_batch > s->batch_acked;
 
 	if (!unwritten)
@@ -603,10 +634,8 @@
 {
 	int64_t due;
 
-	if (e->run->len && exec_lapsed(e, s->now_ms)) {
-		g_info("runner %s: the leases of %u runs have ended", e->id, e->run->len);
-		lose_runs(s, e);
-	}
+	if (e->run->len && exec_lapsed(e, s->now_ms))
+		lose_lapsed(s, e);
 	if (e->gone && e->run->len == 0 && e->seen_batch <= s->batch_acked)
 		return true;
 	check_runs(s, e, next);
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -18,7 +18,14 @@
  */
 struct scheduler;
 
+/* Way to a runner; rank asks for another one after orders without an answer. */
+struct route {
+	const char *dc;
+	uint32_t rank;
+};
+
 struct start_order {
+	struct route route;
 	const char *runner;
 	const char *address;
 	const char *task;
@@ -42,6 +49,7 @@
 };
 
 struct look_order {
+	struct route route;
 	const char *runner;
 	const char *address;
 	int64_t deadline_ms; /* on the runner's clock; 0 to leave the lease as it is */
@@ -98,8 +106,8 @@
 
 struct scheduler_ops {
 	void (*start)(void *ctx, const struct start_order *order);
-	void (*stop)(void *ctx, const char *runner, const char *address, const char *task,
-		     uint32_t run);
+	void (*stop)(void *ctx, const struct route *route, const char *runner, const char *address,
+		     const char *task, uint32_t run);
 	void (*look)(void *ctx, const struct look_order *order);
 	/* cost_us - about how long the advisor takes. */
 	void (*ask)(void *ctx, const char *step, const char *const *runner, size_t n,
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -49,6 +49,8 @@
 void scheduler_end_job(struct scheduler *s, struct plan *p, enum job_state state);
 /* scheduler_stop_run - stops it as soon as that can be done. */
 void scheduler_stop_run(struct scheduler *s, struct run *r);
+/* scheduler_order_stop - tells the runner to stop a run of the task. */
+void scheduler_order_stop(struct scheduler *s, const struct exec *e, const char *task, uint32_t no);
 /* scheduler_stop_gang - stops all members that still live. */
 void scheduler_stop_gang(struct scheduler *s, struct plan *p, struct plan_step *step);
 /* scheduler_find_run - NULL if that run of the task is not on the runner. */
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "link.h"
 #include "links.h"
 #include "log.h"
@@ -22,6 +24,7 @@
 	struct links *links;
 	struct link *link;
 	char *name;
+	char *dc;
 	uint64_t load_us; /* of the questions under way */
 };
 
@@ -41,6 +44,7 @@
 
 struct links {
 	char *self;
+	char *dc;
 	const struct links_ops *ops;
 	void *ctx;
 	GSocketService *service;
@@ -61,11 +65,16 @@
 static const struct link_conf conf = { .frame_max_bytes = FRAME_MAX_BYTES,
 				       .queue_max_bytes = QUEUE_MAX_BYTES };
 
-/* A peer behind a cut does not answer; the kernel gives the connection up after that time. */
+/*
+ * A peer behind a cut does not answer; the kernel gives the connection up after that time. The
+ * time-out of dialling is not to end a link on which nothing is said.
+ */
 static void bound_silence(GSocketConnection *conn)
 {
-	g_socket_set_option(g_socket_connection_get_socket(conn), IPPROTO_TCP, TCP_USER_TIMEOUT,
-			    STATE_TIMEOUT_MS * 2, NULL);
+	GSocket *sock = g_socket_connection_get_socket(conn);
+
+	g_socket_set_timeout(sock, 0);
+	g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, STATE_TIMEOUT_MS * 2, NULL);
 }
 
 static void answer_advice(struct links *l, guint i, bool answered, const struct ticket *ticket,
@@ -86,8 +95,10 @@
 	for (guint i = l->question->len; i > 0; i--)
 		if (g_array_index(l->question, struct question, i - 1).peer == p)
 			answer_advice(l, i - 1, false, NULL, 0, 0);
+	l->ops->peer_lost(l->ctx, p);
 	link_destroy(p->link);
 	g_ptr_array_remove_fast(l->peer, p);
+	g_free(p->dc);
 	g_free(p->name);
 	g_free(p);
 	l->ops->peers(l->ctx, l->peer->len);
@@ -130,11 +141,16 @@
 	if (e->body_case == KW__ENVELOPE__BODY_LINK_HELLO) {
 		g_free(p->name);
 		p->name = g_strdup(e->link_hello->node);
+		g_free(p->dc);
+		p->dc = g_strdup(e->link_hello->dc);
 		log_info("accept", p->name, "linked");
+		p->links->ops->peers(p->links->ctx, p->links->peer->len);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
 		reply_state(p, e->state_ask);
 	} else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_REPLY) {
 		take_advice(p->links, e->advice_reply);
+	} else {
+		p->links->ops->replied(p->links->ctx, e);
 	}
 }
 
@@ -199,6 +215,8 @@
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
 		l->ops->ask(l->ctx, e->advice_ask->call, e->advice_ask->step,
 			    (const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
+	else
+		l->ops->order(l->ctx, e);
 }
 
 static void on_up_closed(void *ctx, struct link *link, const char *why)
@@ -219,6 +237,7 @@
 
 	m.node = l->self;
 	m.term = l->term;
+	m.dc = l->dc;
 	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
 	e.link_hello = &m;
 	link_send(l->up, &e, 0);
@@ -350,6 +369,54 @@
 	link_send(l->up, &e, 0);
 }
 
+/* Highest random weight: a change of the links moves few runners. */
+static uint64_t weight(const struct peer *p, const char *dc, const char *runner)
+{
+	uint64_t hash = XXH3_64bits_withSeed(runner, strlen(runner), g_str_hash(p->name));
+
+	return (hash >> 1) | (g_strcmp0(p->dc, dc) == 0 ? UINT64_C(1) << 63 : 0);
+}
+
+struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank)
+{
+	uint64_t below = UINT64_MAX;
+	struct peer *best = NULL;
+
+	if (l->peer->len == 0)
+		return NULL;
+	rank %= l->peer->len;
+	for (uint32_t i = 0; i <= rank; i++) {
+		uint64_t best_weight = 0;
+		struct peer *found = NULL;
+
+		for (guint k = 0; k < l->peer->len; k++) {
+			struct peer *p = l->peer->pdata[k];
+			uint64_t w = p->name ? weight(p, dc, runner) : 0;
+
+			if (w && w < below && w > best_weight) {
+				found = p;
+				best_weight = w;
+			}
+		}
+		if (!found)
+			break;
+		best = found;
+		below = best_weight;
+	}
+	return best;
+}
+
+bool links_give(struct peer *p, const Kw__Envelope *e)
+{
+	return link_send(p->link, e, 0) > 0;
+}
+
+void links_reply(struct links *l, const Kw__Envelope *e)
+{
+	if (l->up)
+		link_send(l->up, e, 0);
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct links *l = data;
@@ -366,11 +433,12 @@
 	return G_SOURCE_CONTINUE;
 }
 
-struct links *links_create(const char *self, const struct links_ops *ops, void *ctx)
+struct links *links_create(const char *self, const char *dc, const struct links_ops *ops, void *ctx)
 {
 	struct links *l = g_new0(struct links, 1);
 
 	l->self = g_strdup(self);
+	l->dc = g_strdup(dc);
 	l->ops = ops;
 	l->ctx = ctx;
 	l->peer = g_ptr_array_new();
@@ -421,6 +489,7 @@
 	g_array_unref(l->state_call);
 	g_ptr_array_unref(l->peer);
 	g_free(l->address);
+	g_free(l->dc);
 	g_free(l->self);
 	g_free(l);
 }
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -3,6 +3,7 @@
 
 #include <gio/gio.h>
 
+#include "kw.pb-c.h"
 #include "ports.h"
 #include "process/status.h"
 
@@ -11,6 +12,7 @@
  * scheduler; over it states of jobs are asked for, and the scheduler asks for advice.
  */
 struct links;
+struct peer;
 
 /* state is the one that may be shown; known is false if the other side does not schedule it. */
 typedef void (*state_fn)(void *ctx, bool known, enum job_state state);
@@ -24,11 +26,17 @@
 	/* advised - an answer of a node that was asked; answered is false if its link was lost. */
 	void (*advised)(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
 			size_t n, uint32_t validity_ms);
+	/* order - the scheduler gives an order for a runner; answered by links_reply(). */
+	void (*order)(void *ctx, const Kw__Envelope *e);
+	/* replied - an answer to an order that this node gave. */
+	void (*replied)(void *ctx, const Kw__Envelope *e);
+	/* peer_lost - orders that were given to this peer get no answer. */
+	void (*peer_lost)(void *ctx, const struct peer *p);
 	/* peers - the number of nodes that are linked to this one has changed. */
 	void (*peers)(void *ctx, uint32_t n);
 };
 
-struct links *links_create(const char *self, const struct links_ops *ops, void *ctx);
+struct links *links_create(const char *self, const char *dc, const struct links_ops *ops, void *ctx);
 void links_destroy(struct links *l);
 /* links_listen - on ip and port; false with the reason in st. */
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
@@ -48,4 +56,14 @@
 void links_advised(struct links *l, uint64_t call, bool answered, const struct ticket *ticket,
 		   size_t n, uint32_t validity_ms);
 
+/*
+ * links_pick - a linked node for orders to a runner, those of its data centre first; the same one
+ * each time while the links stay, the next one with each rank. NULL if no node is linked.
+ */
+struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank);
+/* links_give - false if the peer can't take it. */
+bool links_give(struct peer *p, const Kw__Envelope *e);
+/* links_reply - to the scheduler; dropped if the link is gone. */
+void links_reply(struct links *l, const Kw__Envelope *e);
+
 #endif
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -8,6 +8,7 @@
 #include "joblog.h"
 #include "log.h"
 #include "node.h"
+#include "relay.h"
 
 #define POKE_MS	      4	   /* what happens within it is decided together */
 #define SUMS_EVERY_MS 5000 /* between log lines of what the scheduler has done */
@@ -15,7 +16,6 @@
 struct node {
 	struct node_conf conf;
 	struct store store;
-	struct runners runners;
 	const struct node_ops *ops;
 	void *ctx;
 	char *self;
@@ -23,6 +23,7 @@
 	struct joblog *log;
 	struct links *links;
 	struct helper *helper;
+	struct relay *relay;
 	struct queues *queues;
 	struct scheduler *scheduler;
 	uint64_t term;
@@ -162,8 +163,8 @@
 {
 	struct node *n = ctx;
 
-	n->runners.ops->start(n->runners.impl, order, n->term, on_started,
-			      order_create(n, order->runner, order->task, order->run));
+	relay_start(n->relay, order->route.dc, order->route.rank, order, n->term, on_started,
+		    order_create(n, order->runner, order->task, order->run));
 }
 
 static void on_stopped(void *ctx, bool answered)
@@ -178,13 +179,13 @@
 	order_free(o);
 }
 
-static void stop_op(void *ctx, const char *runner, const char *address, const char *task,
-		    uint32_t run)
+static void stop_op(void *ctx, const struct route *route, const char *runner, const char *address,
+		    const char *task, uint32_t run)
 {
 	struct node *n = ctx;
 
-	n->runners.ops->stop(n->runners.impl, runner, address, task, run, n->term, on_stopped,
-			     order_create(n, runner, task, run));
+	relay_stop(n->relay, route->dc, route->rank, runner, address, task, run, n->term,
+		   on_stopped, order_create(n, runner, task, run));
 }
 
 static void on_looked(void *ctx, const struct look *look)
@@ -203,8 +204,8 @@
 {
 	struct node *n = ctx;
 
-	n->runners.ops->look(n->runners.impl, order, n->term, on_looked,
-			     order_create(n, order->runner, NULL, 0));
+	relay_look(n->relay, order->route.dc, order->route.rank, order, n->term, on_looked,
+		   order_create(n, order->runner, NULL, 0));
 }
 
 static void ask_free(gpointer data)
@@ -346,6 +347,7 @@
 	}
 	joblog_follow(n->log);
 	links_lead(n->links, false);
+	relay_clear(n->relay);
 	helper_clear(n->helper, false);
 	g_hash_table_remove_all(n->asks);
 }
@@ -439,7 +441,25 @@
 		scheduler_set_helpers(n->scheduler, count + 1);
 }
 
+static void on_order(void *ctx, const Kw__Envelope *e)
+{
+	relay_order(((struct node *)ctx)->relay, e);
+}
+
+static void on_replied(void *ctx, const Kw__Envelope *e)
+{
+	relay_replied(((struct node *)ctx)->relay, e);
+}
+
+static void on_peer_lost(void *ctx, const struct peer *p)
+{
+	relay_peer_lost(((struct node *)ctx)->relay, p);
+}
+
 static const struct links_ops links_ops = {
+	.order = on_order,
+	.replied = on_replied,
+	.peer_lost = on_peer_lost,
 	.state = on_state_asked,
 	.ask = on_ask,
 	.advised = on_link_advised,
@@ -455,12 +475,12 @@
 
 	n->conf = *conf;
 	n->store = *store;
-	n->runners = *runners;
 	n->ops = ops;
 	n->ctx = ctx;
 	n->self = g_strdup_printf("%s/%" G_GINT64_FORMAT, conf->name, g_get_real_time());
 	n->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_free);
-	n->links = links_create(n->self, &links_ops, n);
+	n->links = links_create(n->self, conf->dc, &links_ops, n);
+	n->relay = relay_create(runners, n->links);
 	n->helper = helper_create(advisor, on_helped, n);
 	n->log = joblog_create(store, &joblog_ops, n);
 	n->election = election_create(store, n->self, address, &election_ops, n);
@@ -681,8 +701,9 @@
 	if (n->down)
 		g_source_remove(n->down);
 	election_destroy(n->election);
-	scheduler_destroy(n->scheduler);
+	g_clear_pointer(&n->scheduler, scheduler_destroy);
 	links_destroy(n->links);
+	relay_destroy(n->relay);
 	helper_destroy(n->helper);
 	joblog_destroy(n->log);
 	queues_destroy(n->queues);
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -12,6 +12,7 @@
 
 struct node_conf {
 	const char *name; /* of the VM */
+	const char *dc;
 	const char *ip;	  /* links from other nodes are taken here */
 	uint16_t link_port;
 	struct scheduler_conf scheduler;
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -502,6 +502,366 @@
   assert(message->base.descriptor == &cell__advice_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell__start_order__init
+                     (Cell__StartOrder         *message)
+{
+  static const Cell__StartOrder init_value = CELL__START_ORDER__INIT;
+  *message = init_value;
+}
+size_t cell__start_order__get_packed_size
+                     (const Cell__StartOrder *message)
+{
+  assert(message->base.descriptor == &cell__start_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__start_order__pack
+                     (const Cell__StartOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__start_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__start_order__pack_to_buffer
+                     (const Cell__StartOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__start_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__StartOrder *
+       cell__start_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__StartOrder *)
+     protobuf_c_message_unpack (&cell__start_order__descriptor,
+                                allocator, len, data);
+}
+void   cell__start_order__free_unpacked
+                     (Cell__StartOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__start_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__start_reply__init
+                     (Cell__StartReply         *message)
+{
+  static const Cell__StartReply init_value = CELL__START_REPLY__INIT;
+  *message = init_value;
+}
+size_t cell__start_reply__get_packed_size
+                     (const Cell__StartReply *message)
+{
+  assert(message->base.descriptor == &cell__start_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__start_reply__pack
+                     (const Cell__StartReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__start_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__start_reply__pack_to_buffer
+                     (const Cell__StartReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__start_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__StartReply *
+       cell__start_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__StartReply *)
+     protobuf_c_message_unpack (&cell__start_reply__descriptor,
+                                allocator, len, data);
+}
+void   cell__start_reply__free_unpacked
+                     (Cell__StartReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__start_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__stop_order__init
+                     (Cell__StopOrder         *message)
+{
+  static const Cell__StopOrder init_value = CELL__STOP_ORDER__INIT;
+  *message = init_value;
+}
+size_t cell__stop_order__get_packed_size
+                     (const Cell__StopOrder *message)
+{
+  assert(message->base.descriptor == &cell__stop_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__stop_order__pack
+                     (const Cell__StopOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__stop_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__stop_order__pack_to_buffer
+                     (const Cell__StopOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__stop_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__StopOrder *
+       cell__stop_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__StopOrder *)
+     protobuf_c_message_unpack (&cell__stop_order__descriptor,
+                                allocator, len, data);
+}
+void   cell__stop_order__free_unpacked
+                     (Cell__StopOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__stop_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__stop_reply__init
+                     (Cell__StopReply         *message)
+{
+  static const Cell__StopReply init_value = CELL__STOP_REPLY__INIT;
+  *message = init_value;
+}
+size_t cell__stop_reply__get_packed_size
+                     (const Cell__StopReply *message)
+{
+  assert(message->base.descriptor == &cell__stop_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__stop_reply__pack
+                     (const Cell__StopReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__stop_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__stop_reply__pack_to_buffer
+                     (const Cell__StopReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__stop_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__StopReply *
+       cell__stop_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__StopReply *)
+     protobuf_c_message_unpack (&cell__stop_reply__descriptor,
+                                allocator, len, data);
+}
+void   cell__stop_reply__free_unpacked
+                     (Cell__StopReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__stop_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__look_order__init
+                     (Cell__LookOrder         *message)
+{
+  static const Cell__LookOrder init_value = CELL__LOOK_ORDER__INIT;
+  *message = init_value;
+}
+size_t cell__look_order__get_packed_size
+                     (const Cell__LookOrder *message)
+{
+  assert(message->base.descriptor == &cell__look_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__look_order__pack
+                     (const Cell__LookOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__look_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__look_order__pack_to_buffer
+                     (const Cell__LookOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__look_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__LookOrder *
+       cell__look_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__LookOrder *)
+     protobuf_c_message_unpack (&cell__look_order__descriptor,
+                                allocator, len, data);
+}
+void   cell__look_order__free_unpacked
+                     (Cell__LookOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__look_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__running_task__init
+                     (Cell__RunningTask         *message)
+{
+  static const Cell__RunningTask init_value = CELL__RUNNING_TASK__INIT;
+  *message = init_value;
+}
+size_t cell__running_task__get_packed_size
+                     (const Cell__RunningTask *message)
+{
+  assert(message->base.descriptor == &cell__running_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__running_task__pack
+                     (const Cell__RunningTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__running_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__running_task__pack_to_buffer
+                     (const Cell__RunningTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__running_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__RunningTask *
+       cell__running_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__RunningTask *)
+     protobuf_c_message_unpack (&cell__running_task__descriptor,
+                                allocator, len, data);
+}
+void   cell__running_task__free_unpacked
+                     (Cell__RunningTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__running_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__ended_task__init
+                     (Cell__EndedTask         *message)
+{
+  static const Cell__EndedTask init_value = CELL__ENDED_TASK__INIT;
+  *message = init_value;
+}
+size_t cell__ended_task__get_packed_size
+                     (const Cell__EndedTask *message)
+{
+  assert(message->base.descriptor == &cell__ended_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__ended_task__pack
+                     (const Cell__EndedTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__ended_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__ended_task__pack_to_buffer
+                     (const Cell__EndedTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__ended_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__EndedTask *
+       cell__ended_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__EndedTask *)
+     protobuf_c_message_unpack (&cell__ended_task__descriptor,
+                                allocator, len, data);
+}
+void   cell__ended_task__free_unpacked
+                     (Cell__EndedTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__ended_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__look_reply__init
+                     (Cell__LookReply         *message)
+{
+  static const Cell__LookReply init_value = CELL__LOOK_REPLY__INIT;
+  *message = init_value;
+}
+size_t cell__look_reply__get_packed_size
+                     (const Cell__LookReply *message)
+{
+  assert(message->base.descriptor == &cell__look_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__look_reply__pack
+                     (const Cell__LookReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__look_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__look_reply__pack_to_buffer
+                     (const Cell__LookReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__look_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__LookReply *
+       cell__look_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__LookReply *)
+     protobuf_c_message_unpack (&cell__look_reply__descriptor,
+                                allocator, len, data);
+}
+void   cell__look_reply__free_unpacked
+                     (Cell__LookReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__look_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor cell__step__field_descriptors[18] =
 {
   {
@@ -1225,7 +1585,7 @@
   (ProtobufCMessageInit) cell__lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[3] =
 {
   {
     "node",
@@ -1251,15 +1611,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dc",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LinkHello, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__link_hello__field_indices_by_name[] = {
+  2,   /* field[2] = dc */
   0,   /* field[0] = node */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange cell__link_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cell__link_hello__descriptor =
 {
@@ -1269,7 +1642,7 @@
   "Cell__LinkHello",
   "cell",
   sizeof(Cell__LinkHello),
-  2,
+  3,
   cell__link_hello__field_descriptors,
   cell__link_hello__field_indices_by_name,
   1,  cell__link_hello__number_ranges,
@@ -1583,6 +1956,791 @@
   (ProtobufCMessageInit) cell__advice_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cell__start_order__field_descriptors[10] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__start_order__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  0,   /* field[0] = call */
+  7,   /* field[7] = checkpoint */
+  9,   /* field[9] = deadline_ms */
+  5,   /* field[5] = payload */
+  8,   /* field[8] = run */
+  2,   /* field[2] = runner */
+  4,   /* field[4] = task */
+  1,   /* field[1] = term */
+  6,   /* field[6] = ticket */
+};
+static const ProtobufCIntRange cell__start_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cell__start_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.StartOrder",
+  "StartOrder",
+  "Cell__StartOrder",
+  "cell",
+  sizeof(Cell__StartOrder),
+  10,
+  cell__start_order__field_descriptors,
+  cell__start_order__field_indices_by_name,
+  1,  cell__start_order__number_ranges,
+  (ProtobufCMessageInit) cell__start_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__start_reply__field_descriptors[3] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartReply, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartReply, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartReply, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__start_reply__field_indices_by_name[] = {
+  0,   /* field[0] = call */
+  2,   /* field[2] = clock_ms */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange cell__start_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cell__start_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.StartReply",
+  "StartReply",
+  "Cell__StartReply",
+  "cell",
+  sizeof(Cell__StartReply),
+  3,
+  cell__start_reply__field_descriptors,
+  cell__start_reply__field_indices_by_name,
+  1,  cell__start_reply__number_ranges,
+  (ProtobufCMessageInit) cell__start_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__stop_order__field_descriptors[6] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__stop_order__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  0,   /* field[0] = call */
+  5,   /* field[5] = run */
+  2,   /* field[2] = runner */
+  4,   /* field[4] = task */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange cell__stop_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cell__stop_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.StopOrder",
+  "StopOrder",
+  "Cell__StopOrder",
+  "cell",
+  sizeof(Cell__StopOrder),
+  6,
+  cell__stop_order__field_descriptors,
+  cell__stop_order__field_indices_by_name,
+  1,  cell__stop_order__number_ranges,
+  (ProtobufCMessageInit) cell__stop_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__stop_reply__field_descriptors[2] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopReply, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopReply, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__stop_reply__field_indices_by_name[] = {
+  1,   /* field[1] = answered */
+  0,   /* field[0] = call */
+};
+static const ProtobufCIntRange cell__stop_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cell__stop_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.StopReply",
+  "StopReply",
+  "Cell__StopReply",
+  "cell",
+  sizeof(Cell__StopReply),
+  2,
+  cell__stop_reply__field_descriptors,
+  cell__stop_reply__field_indices_by_name,
+  1,  cell__stop_reply__number_ranges,
+  (ProtobufCMessageInit) cell__stop_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__look_order__field_descriptors[7] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__look_order__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  0,   /* field[0] = call */
+  4,   /* field[4] = deadline_ms */
+  2,   /* field[2] = runner */
+  5,   /* field[5] = seen */
+  1,   /* field[1] = term */
+  6,   /* field[6] = wait_ms */
+};
+static const ProtobufCIntRange cell__look_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cell__look_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.LookOrder",
+  "LookOrder",
+  "Cell__LookOrder",
+  "cell",
+  sizeof(Cell__LookOrder),
+  7,
+  cell__look_order__field_descriptors,
+  cell__look_order__field_indices_by_name,
+  1,  cell__look_order__number_ranges,
+  (ProtobufCMessageInit) cell__look_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__running_task__field_descriptors[4] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunningTask, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunningTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunningTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunningTask, usage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__running_task__field_indices_by_name[] = {
+  2,   /* field[2] = checkpoint */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+  3,   /* field[3] = usage */
+};
+static const ProtobufCIntRange cell__running_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cell__running_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.RunningTask",
+  "RunningTask",
+  "Cell__RunningTask",
+  "cell",
+  sizeof(Cell__RunningTask),
+  4,
+  cell__running_task__field_descriptors,
+  cell__running_task__field_indices_by_name,
+  1,  cell__running_task__number_ranges,
+  (ProtobufCMessageInit) cell__running_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__ended_task__field_descriptors[5] =
+{
+  {
+    "no",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__EndedTask, no),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__EndedTask, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__EndedTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__EndedTask, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__EndedTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__ended_task__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  3,   /* field[3] = end */
+  0,   /* field[0] = no */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange cell__ended_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cell__ended_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.EndedTask",
+  "EndedTask",
+  "Cell__EndedTask",
+  "cell",
+  sizeof(Cell__EndedTask),
+  5,
+  cell__ended_task__field_descriptors,
+  cell__ended_task__field_indices_by_name,
+  1,  cell__ended_task__number_ranges,
+  (ProtobufCMessageInit) cell__ended_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__look_reply__field_descriptors[8] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fenced",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, fenced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "other",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, other),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookReply, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cell__LookReply, n_running),
+    offsetof(Cell__LookReply, running),
+    &cell__running_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cell__LookReply, n_ended),
+    offsetof(Cell__LookReply, ended),
+    &cell__ended_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__look_reply__field_indices_by_name[] = {
+  1,   /* field[1] = answered */
+  4,   /* field[4] = born_ms */
+  0,   /* field[0] = call */
+  5,   /* field[5] = clock_ms */
+  7,   /* field[7] = ended */
+  2,   /* field[2] = fenced */
+  3,   /* field[3] = other */
+  6,   /* field[6] = running */
+};
+static const ProtobufCIntRange cell__look_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cell__look_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.LookReply",
+  "LookReply",
+  "Cell__LookReply",
+  "cell",
+  sizeof(Cell__LookReply),
+  8,
+  cell__look_reply__field_descriptors,
+  cell__look_reply__field_indices_by_name,
+  1,  cell__look_reply__number_ranges,
+  (ProtobufCMessageInit) cell__look_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue cell__lead_kind__enum_values_by_number[3] =
 {
   { "CLAIM", "CELL__LEAD_KIND__CLAIM", 0 },
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -26,6 +26,14 @@
 typedef struct Cell__AdviceAsk Cell__AdviceAsk;
 typedef struct Cell__Ticket Cell__Ticket;
 typedef struct Cell__AdviceReply Cell__AdviceReply;
+typedef struct Cell__StartOrder Cell__StartOrder;
+typedef struct Cell__StartReply Cell__StartReply;
+typedef struct Cell__StopOrder Cell__StopOrder;
+typedef struct Cell__StopReply Cell__StopReply;
+typedef struct Cell__LookOrder Cell__LookOrder;
+typedef struct Cell__RunningTask Cell__RunningTask;
+typedef struct Cell__EndedTask Cell__EndedTask;
+typedef struct Cell__LookReply Cell__LookReply;
 
 
 /* --- enums --- */
@@ -150,10 +158,11 @@
   ProtobufCMessage base;
   char *node;
   uint64_t term;
+  char *dc;
 };
 #define CELL__LINK_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__link_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Cell__StateAsk
@@ -220,6 +229,128 @@
     , 0, 0, 0, 0,NULL }
 
 
+/*
+ * Orders to runners that the scheduler gives through another daemon.
+ */
+struct  Cell__StartOrder
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint64_t term;
+  char *runner;
+  char *address;
+  char *task;
+  char *payload;
+  char *ticket;
+  char *checkpoint;
+  uint32_t run;
+  int64_t deadline_ms;
+};
+#define CELL__START_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__start_order__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cell__StartReply
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint32_t result;
+  int64_t clock_ms;
+};
+#define CELL__START_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__start_reply__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Cell__StopOrder
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint64_t term;
+  char *runner;
+  char *address;
+  char *task;
+  uint32_t run;
+};
+#define CELL__STOP_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__stop_order__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Cell__StopReply
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  protobuf_c_boolean answered;
+};
+#define CELL__STOP_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__stop_reply__descriptor) \
+    , 0, 0 }
+
+
+struct  Cell__LookOrder
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  uint64_t term;
+  char *runner;
+  char *address;
+  int64_t deadline_ms;
+  uint64_t seen;
+  uint32_t wait_ms;
+};
+#define CELL__LOOK_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__look_order__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Cell__RunningTask
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+  char *checkpoint;
+  uint32_t usage;
+};
+#define CELL__RUNNING_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__running_task__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Cell__EndedTask
+{
+  ProtobufCMessage base;
+  uint64_t no;
+  char *task;
+  uint32_t run;
+  uint32_t end;
+  char *checkpoint;
+};
+#define CELL__ENDED_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__ended_task__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cell__LookReply
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  protobuf_c_boolean answered;
+  protobuf_c_boolean fenced;
+  protobuf_c_boolean other;
+  int64_t born_ms;
+  int64_t clock_ms;
+  size_t n_running;
+  Cell__RunningTask **running;
+  size_t n_ended;
+  Cell__EndedTask **ended;
+};
+#define CELL__LOOK_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__look_reply__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 /* Cell__Step methods */
 void   cell__step__init
                      (Cell__Step         *message);
@@ -429,6 +560,158 @@
 void   cell__advice_reply__free_unpacked
                      (Cell__AdviceReply *message,
                       ProtobufCAllocator *allocator);
+/* Cell__StartOrder methods */
+void   cell__start_order__init
+                     (Cell__StartOrder         *message);
+size_t cell__start_order__get_packed_size
+                     (const Cell__StartOrder   *message);
+size_t cell__start_order__pack
+                     (const Cell__StartOrder   *message,
+                      uint8_t             *out);
+size_t cell__start_order__pack_to_buffer
+                     (const Cell__StartOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__StartOrder *
+       cell__start_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__start_order__free_unpacked
+                     (Cell__StartOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__StartReply methods */
+void   cell__start_reply__init
+                     (Cell__StartReply         *message);
+size_t cell__start_reply__get_packed_size
+                     (const Cell__StartReply   *message);
+size_t cell__start_reply__pack
+                     (const Cell__StartReply   *message,
+                      uint8_t             *out);
+size_t cell__start_reply__pack_to_buffer
+                     (const Cell__StartReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__StartReply *
+       cell__start_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__start_reply__free_unpacked
+                     (Cell__StartReply *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__StopOrder methods */
+void   cell__stop_order__init
+                     (Cell__StopOrder         *message);
+size_t cell__stop_order__get_packed_size
+                     (const Cell__StopOrder   *message);
+size_t cell__stop_order__pack
+                     (const Cell__StopOrder   *message,
+                      uint8_t             *out);
+size_t cell__stop_order__pack_to_buffer
+                     (const Cell__StopOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__StopOrder *
+       cell__stop_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__stop_order__free_unpacked
+                     (Cell__StopOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__StopReply methods */
+void   cell__stop_reply__init
+                     (Cell__StopReply         *message);
+size_t cell__stop_reply__get_packed_size
+                     (const Cell__StopReply   *message);
+size_t cell__stop_reply__pack
+                     (const Cell__StopReply   *message,
+                      uint8_t             *out);
+size_t cell__stop_reply__pack_to_buffer
+                     (const Cell__StopReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__StopReply *
+       cell__stop_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__stop_reply__free_unpacked
+                     (Cell__StopReply *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__LookOrder methods */
+void   cell__look_order__init
+                     (Cell__LookOrder         *message);
+size_t cell__look_order__get_packed_size
+                     (const Cell__LookOrder   *message);
+size_t cell__look_order__pack
+                     (const Cell__LookOrder   *message,
+                      uint8_t             *out);
+size_t cell__look_order__pack_to_buffer
+                     (const Cell__LookOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__LookOrder *
+       cell__look_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__look_order__free_unpacked
+                     (Cell__LookOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__RunningTask methods */
+void   cell__running_task__init
+                     (Cell__RunningTask         *message);
+size_t cell__running_task__get_packed_size
+                     (const Cell__RunningTask   *message);
+size_t cell__running_task__pack
+                     (const Cell__RunningTask   *message,
+                      uint8_t             *out);
+size_t cell__running_task__pack_to_buffer
+                     (const Cell__RunningTask   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__RunningTask *
+       cell__running_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__running_task__free_unpacked
+                     (Cell__RunningTask *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__EndedTask methods */
+void   cell__ended_task__init
+                     (Cell__EndedTask         *message);
+size_t cell__ended_task__get_packed_size
+                     (const Cell__EndedTask   *message);
+size_t cell__ended_task__pack
+                     (const Cell__EndedTask   *message,
+                      uint8_t             *out);
+size_t cell__ended_task__pack_to_buffer
+                     (const Cell__EndedTask   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__EndedTask *
+       cell__ended_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__ended_task__free_unpacked
+                     (Cell__EndedTask *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__LookReply methods */
+void   cell__look_reply__init
+                     (Cell__LookReply         *message);
+size_t cell__look_reply__get_packed_size
+                     (const Cell__LookReply   *message);
+size_t cell__look_reply__pack
+                     (const Cell__LookReply   *message,
+                      uint8_t             *out);
+size_t cell__look_reply__pack_to_buffer
+                     (const Cell__LookReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__LookReply *
+       cell__look_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__look_reply__free_unpacked
+                     (Cell__LookReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cell__Step_Closure)
@@ -464,6 +747,30 @@
 typedef void (*Cell__AdviceReply_Closure)
                  (const Cell__AdviceReply *message,
                   void *closure_data);
+typedef void (*Cell__StartOrder_Closure)
+                 (const Cell__StartOrder *message,
+                  void *closure_data);
+typedef void (*Cell__StartReply_Closure)
+                 (const Cell__StartReply *message,
+                  void *closure_data);
+typedef void (*Cell__StopOrder_Closure)
+                 (const Cell__StopOrder *message,
+                  void *closure_data);
+typedef void (*Cell__StopReply_Closure)
+                 (const Cell__StopReply *message,
+                  void *closure_data);
+typedef void (*Cell__LookOrder_Closure)
+                 (const Cell__LookOrder *message,
+                  void *closure_data);
+typedef void (*Cell__RunningTask_Closure)
+                 (const Cell__RunningTask *message,
+                  void *closure_data);
+typedef void (*Cell__EndedTask_Closure)
+                 (const Cell__EndedTask *message,
+                  void *closure_data);
+typedef void (*Cell__LookReply_Closure)
+                 (const Cell__LookReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -482,6 +789,14 @@
 extern const ProtobufCMessageDescriptor cell__advice_ask__descriptor;
 extern const ProtobufCMessageDescriptor cell__ticket__descriptor;
 extern const ProtobufCMessageDescriptor cell__advice_reply__descriptor;
+extern const ProtobufCMessageDescriptor cell__start_order__descriptor;
+extern const ProtobufCMessageDescriptor cell__start_reply__descriptor;
+extern const ProtobufCMessageDescriptor cell__stop_order__descriptor;
+extern const ProtobufCMessageDescriptor cell__stop_reply__descriptor;
+extern const ProtobufCMessageDescriptor cell__look_order__descriptor;
+extern const ProtobufCMessageDescriptor cell__running_task__descriptor;
+extern const ProtobufCMessageDescriptor cell__ended_task__descriptor;
+extern const ProtobufCMessageDescriptor cell__look_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/wire/kw.pb-c.c
+++ b/packages/wire/kw.pb-c.c
@@ -2172,7 +2172,7 @@
   (ProtobufCMessageInit) kw__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[18] =
+static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[24] =
 {
   {
     "hello",
@@ -2390,6 +2390,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_order",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, start_order),
+    &cell__start_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_reply",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, start_reply),
+    &cell__start_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stop_order",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, stop_order),
+    &cell__stop_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stop_reply",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, stop_reply),
+    &cell__stop_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "look_order",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, look_order),
+    &cell__look_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "look_reply",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, look_reply),
+    &cell__look_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kw__envelope__field_indices_by_name[] = {
   16,   /* field[16] = advice_ask */
@@ -2403,10 +2475,16 @@
   6,   /* field[6] = end */
   0,   /* field[0] = hello */
   13,   /* field[13] = link_hello */
+  22,   /* field[22] = look_order */
+  23,   /* field[23] = look_reply */
   12,   /* field[12] = records */
   11,   /* field[11] = records_ask */
+  18,   /* field[18] = start_order */
+  19,   /* field[19] = start_reply */
   14,   /* field[14] = state_ask */
   15,   /* field[15] = state_reply */
+  20,   /* field[20] = stop_order */
+  21,   /* field[21] = stop_reply */
   8,   /* field[8] = vote_ask */
   10,   /* field[10] = vote_finish */
   9,   /* field[9] = vote_reply */
@@ -2414,7 +2492,7 @@
 static const ProtobufCIntRange kw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor kw__envelope__descriptor =
 {
@@ -2424,7 +2502,7 @@
   "Kw__Envelope",
   "kw",
   sizeof(Kw__Envelope),
-  18,
+  24,
   kw__envelope__field_descriptors,
   kw__envelope__field_indices_by_name,
   1,  kw__envelope__number_ranges,
--- a/packages/wire/kw.pb-c.h
+++ b/packages/wire/kw.pb-c.h
@@ -378,7 +378,13 @@
   KW__ENVELOPE__BODY_STATE_ASK = 15,
   KW__ENVELOPE__BODY_STATE_REPLY = 16,
   KW__ENVELOPE__BODY_ADVICE_ASK = 17,
-  KW__ENVELOPE__BODY_ADVICE_REPLY = 18
+  KW__ENVELOPE__BODY_ADVICE_REPLY = 18,
+  KW__ENVELOPE__BODY_START_ORDER = 19,
+  KW__ENVELOPE__BODY_START_REPLY = 20,
+  KW__ENVELOPE__BODY_STOP_ORDER = 21,
+  KW__ENVELOPE__BODY_STOP_REPLY = 22,
+  KW__ENVELOPE__BODY_LOOK_ORDER = 23,
+  KW__ENVELOPE__BODY_LOOK_REPLY = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(KW__ENVELOPE__BODY__CASE)
 } Kw__Envelope__BodyCase;
 
@@ -405,6 +411,12 @@
     Cell__StateReply *state_reply;
     Cell__AdviceAsk *advice_ask;
     Cell__AdviceReply *advice_reply;
+    Cell__StartOrder *start_order;
+    Cell__StartReply *start_reply;
+    Cell__StopOrder *stop_order;
+    Cell__StopReply *stop_reply;
+    Cell__LookOrder *look_order;
+    Cell__LookReply *look_reply;
   };
 };
 #define KW__ENVELOPE__INIT \
