Questions to the advisor: all runners at once, and only where a ticket starts something

Change: the first question of a step names all runners that suit, later ones only where a waiting task could start with the ticket; room is set aside only while a question is under way; a failed task avoids its runner for 4 s only.

--- a/packages/cell/process/advice.h
+++ b/packages/cell/process/advice.h
@@ -19,6 +19,8 @@
 struct advice {
 	struct advice_rows *rows;
 	bool asking;
+	bool answered;	  /* once, at least */
+	int64_t retry_ms; /* not to be asked again before */
 	uint64_t cost_us; /* of the call under way */
 };
 
--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -3,6 +3,7 @@
 #include "scheduler_priv.h"
 
 #define FAULTS_MAX    2	    /* failures in a row after which a runner gets no work for a while */
+#define AVOID_MS      4000  /* a failed task goes elsewhere for that long */
 #define BAR_MIN_MS    2000  /* first pause of such a runner; doubles with each failure */
 #define LOOK_ENDS_MAX 500   /* the platform lists at most that many ends in one answer */
 #define BAR_MAX_MS    16000 /* a runner that has recovered is tried within that time */
@@ -40,6 +41,7 @@
 static void end_failed(struct scheduler *s, struct exec *e, struct plan *p, uint32_t task)
 {
 	p->task[task].avoid = e->handle + 1;
+	p->task[task].avoid_until_ms = s->now_ms + AVOID_MS;
 	if (plan_ended(p))
 		return;
 	note_fault(s, e, p);
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -2,17 +2,15 @@
 
 #include "scheduler_priv.h"
 
-#define ASK_NAMES_MAX	24     /* runners in one question: naming more costs more than it finds */
-#define ASK_AHEAD_STEPS 3      /* steps of a pool that ask before there is room for them */
-#define ASK_AHEAD_US	100000 /* only where an answer takes that long is asking ahead worth it */
-#define ASK_LOAD_US	500000 /* outstanding calls of a helper; beyond it, answers come too late */
+#define ASK_NAMES_MAX	100    /* runners in one question, the platform's bound */
+#define ASK_NAMES_MIN	8      /* named even where naming costs more than deciding */
+#define ASK_LOAD_US	400000 /* outstanding calls of a helper; beyond it, answers come too late */
 #define BLOCKED_GANGS	2      /* gangs of a pool that keep room free while they wait */
 
 /* One placement pass over a pool of runners. */
 struct pass_pool {
 	const char *service;
 	GPtrArray *exec;
-	uint32_t ahead;
 	uint32_t blocked;
 };
 
@@ -26,6 +24,7 @@
 	struct pass_pool *pool;
 	struct plan *plan;
 	struct plan_step *step;
+	const struct queue *queue; /* NULL if it is not configured any more */
 	struct amount need;
 	bool advised;
 };
@@ -123,10 +122,12 @@
 	return score;
 }
 
-static struct exec *choose(const struct pass *pass, const struct target *t, uint32_t avoid,
-			   const char *rack)
+/* The best runner for a task of the step; ticketed: only one that may be ordered at once. */
+static struct exec *choose(const struct pass *pass, const struct target *t,
+			   const struct plan_task *task, const char *rack, bool ticketed)
 {
 	int64_t valid_ms = pass->s->now_ms + ORDER_MARGIN_MS;
+	uint32_t avoid = task->avoid_until_ms > pass->s->now_ms ? task->avoid : 0;
 	struct exec *best = NULL;
 	int64_t best_score = 0;
 
@@ -138,7 +139,8 @@
 			continue;
 		if (!suits(t, e) || !has_room(t, e))
 			continue;
-		if (t->advised && !advice_ticket(t->step->advice, e->handle, valid_ms))
+		if (ticketed && t->advised &&
+		    !advice_ticket(t->step->advice, e->handle, valid_ms))
 			continue;
 		score = rate(t, e);
 		if (!best || score < best_score) {
@@ -172,9 +174,11 @@
 	return x.cpu_milli > y.cpu_milli ? -1 : x.cpu_milli < y.cpu_milli;
 }
 
-static void add_candidates(const struct target *t, GPtrArray *out, enum verdict verdict, bool room)
+/* Runners to name: those with room or, the first time, all that suit, as far as naming is cheap. */
+static void add_candidates(const struct target *t, GPtrArray *out, enum verdict verdict, bool room,
+			   uint32_t max)
 {
-	GPtrArray *found = g_ptr_array_new();
+	g_autoptr(GPtrArray) found = g_ptr_array_new();
 
 	for (guint i = 0; i < t->pool->exec->len; i++) {
 		struct exec *e = t->pool->exec->pdata[i];
@@ -184,33 +188,17 @@
 			g_ptr_array_add(found, e);
 	}
 	g_ptr_array_sort(found, by_free);
-	for (guint i = 0; i < found->len && out->len < ASK_NAMES_MAX; i++)
+	for (guint i = 0; i < found->len && out->len < max; i++)
 		g_ptr_array_add(out, found->pdata[i]);
-	g_ptr_array_unref(found);
-}
-
-static uint32_t places_for(const struct target *t, const GPtrArray *exec)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < exec->len; i++) {
-		struct amount free = exec_free(exec->pdata[i]);
-
-		for (uint32_t k = 0; k < t->step->spec->count && amount_fits(&t->need, &free); k++) {
-			amount_sub(&free, &t->need);
-			n++;
-		}
-	}
-	return n;
 }
 
 static void send_question(struct pass *pass, const struct target *t, const GPtrArray *exec)
 {
 	struct scheduler *s = pass->s;
-	const struct queue *q = queues_find(s->queues, t->plan->job->queue);
 	g_autofree const char **names = g_new(const char *, exec->len);
 	char step[TASK_NAME_BYTES];
-	uint64_t cost_us = q ? q->decide_us + (uint64_t)q->interval_us * exec->len : 0;
+	uint64_t cost_us =
+		t->queue ? t->queue->decide_us + (uint64_t)t->queue->interval_us * exec->len : 0;
 
 	for (guint i = 0; i < exec->len; i++)
 		names[i] = ((const struct exec *)exec->pdata[i])->id;
@@ -222,39 +210,42 @@
 	s->ops->ask(s->ctx, step, names, exec->len, cost_us);
 }
 
-static bool slow_to_ask(const struct pass *pass, const struct target *t)
+/* As many names as take half of the time that the decision takes by itself. */
+static uint32_t names_max(const struct target *t)
 {
-	const struct queue *q = queues_find(pass->s->queues, t->plan->job->queue);
-
-	return q && q->decide_us >= ASK_AHEAD_US;
+	if (!t->queue || !t->queue->interval_us)
+		return ASK_NAMES_MAX;
+	return CLAMP(t->queue->decide_us / t->queue->interval_us / 2, ASK_NAMES_MIN, ASK_NAMES_MAX);
 }
 
-static void ask(struct pass *pass, const struct target *t, uint32_t waiting)
+/* Asks for tickets; possible: some of what waits could start if they were there. */
+static void ask(struct pass *pass, const struct target *t, bool possible)
 {
 	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	struct scheduler *s = pass->s;
+	struct advice *a;
+	bool first;
 
 	if (!t->step->advice)
 		t->step->advice = advice_create();
-	if (t->step->advice->asking ||
-	    pass->s->asking_us > (uint64_t)ASK_LOAD_US * MAX(pass->s->helpers, 1))
+	a = t->step->advice;
+	first = !a->answered;
+	if (a->asking) {
+		s->sums.steps_asking++;
+		return;
+	}
+	/* The verdicts on a gang's runners are worth knowing before there is room for it. */
+	if (!possible && !(first && t->step->spec->gang)) {
+		s->sums.steps_without_room++;
 		return;
-	add_candidates(t, exec, VERDICT_APPROVED, true);
-	if (places_for(t, exec) < waiting)
-		add_candidates(t, exec, VERDICT_UNKNOWN, true);
-	if (exec->len == 0 && t->pool->ahead < ASK_AHEAD_STEPS && slow_to_ask(pass, t)) {
-		t->pool->ahead++;
-		for (guint i = 0; i < t->pool->exec->len; i++) {
-			struct exec *e = t->pool->exec->pdata[i];
-
-			/* Those that are valid for a while yet need no question. */
-			if (advice_ticket(t->step->advice, e->handle,
-					  pass->s->now_ms + 2 * ORDER_MARGIN_MS))
-				return;
-		}
-		add_candidates(t, exec, VERDICT_APPROVED, false);
-		if (exec->len == 0)
-			add_candidates(t, exec, VERDICT_UNKNOWN, false);
 	}
+	if (a->retry_ms > s->now_ms ||
+	    s->asking_us > (uint64_t)ASK_LOAD_US * MAX(s->helpers, 1)) {
+		s->sums.steps_not_asked++;
+		return;
+	}
+	add_candidates(t, exec, VERDICT_APPROVED, true, names_max(t));
+	add_candidates(t, exec, VERDICT_UNKNOWN, !first, names_max(t));
 	if (exec->len)
 		send_question(pass, t, exec);
 }
@@ -298,36 +289,42 @@
 {
 	const Cell__Step *spec = t->step->spec;
 	uint32_t waiting = 0;
+	bool possible = false;
 	bool full = false;
 
 	for (uint32_t i = 0; i < spec->count; i++) {
-		uint32_t task = t->step->first_task + i;
+		struct plan_task *task = &t->plan->task[t->step->first_task + i];
+		bool picky = task->avoid_until_ms > pass->s->now_ms;
 		struct exec *e = NULL;
 
-		if (!task_waits(pass, &t->plan->task[task]))
+		if (!task_waits(pass, task))
+			continue;
+		if (!full || picky)
+			e = choose(pass, t, task, NULL, true);
+		if (e) {
+			place(pass, t, t->step->first_task + i, e);
 			continue;
-		if (!full)
-			e = choose(pass, t, t->plan->task[task].avoid, NULL);
-		if (e)
-			place(pass, t, task, e);
-		else
-			waiting++;
-		full = full || (!e && !t->plan->task[task].avoid);
+		}
+		waiting++;
+		full = full || !picky;
+		possible = possible || (t->advised && choose(pass, t, task, NULL, false));
 	}
-	if (waiting && t->advised) {
-		ask(pass, t, waiting);
+	pass->s->sums.waiting_tasks += waiting;
+	if (!waiting || !t->advised)
+		return;
+	ask(pass, t, possible);
+	if (t->step->advice->asking)
 		hope(t, waiting);
-	}
 }
 
 /* Finds room for all members in rack (NULL for any); false and nothing taken if there is none. */
 static bool find_gang(const struct pass *pass, const struct target *t, const char *rack,
-		      struct exec **out)
+		      bool ticketed, struct exec **out)
 {
 	uint32_t n = 0;
 
 	for (; n < t->step->spec->count; n++) {
-		out[n] = choose(pass, t, t->plan->task[t->step->first_task + n].avoid, rack);
+		out[n] = choose(pass, t, &t->plan->task[t->step->first_task + n], rack, ticketed);
 		if (!out[n])
 			break;
 		amount_add(&out[n]->hoped, &t->need);
@@ -337,14 +334,15 @@
 	return n == t->step->spec->count;
 }
 
-static bool find_gang_rack(const struct pass *pass, const struct target *t, struct exec **out)
+static bool find_gang_rack(const struct pass *pass, const struct target *t, bool ticketed,
+			   struct exec **out)
 {
 	if (!t->step->spec->one_rack)
-		return find_gang(pass, t, NULL, out);
+		return find_gang(pass, t, NULL, ticketed, out);
 	for (guint i = 0; i < t->pool->exec->len; i++) {
 		const struct exec *e = t->pool->exec->pdata[i];
 
-		if (e->rack && find_gang(pass, t, e->rack, out))
+		if (e->rack && find_gang(pass, t, e->rack, ticketed, out))
 			return true;
 	}
 	return false;
@@ -373,19 +371,21 @@
 		if (!task_waits(pass, &t->plan->task[t->step->first_task + i]))
 			return;
 	exec = g_new0(struct exec *, spec->count);
-	if (find_gang_rack(pass, t, exec)) {
+	if (find_gang_rack(pass, t, true, exec)) {
 		place_members(pass, t, exec);
 		return;
 	}
+	pass->s->sums.gangs_waiting++;
+	pass->s->sums.waiting_tasks += spec->count;
 	if (t->advised)
-		ask(pass, t, spec->count);
+		ask(pass, t, find_gang_rack(pass, t, false, exec));
 	keep_room(t, spec->count);
 }
 
 static void place_step(struct pass *pass, struct plan *p, struct plan_step *step)
 {
 	const struct queue *q = queues_find(pass->s->queues, p->job->queue);
-	struct target t = { .plan = p, .step = step };
+	struct target t = { .plan = p, .step = step, .queue = q };
 
 	t.pool = g_hash_table_lookup(pass->pool, q ? q->service : p->job->service);
 	if (!t.pool)
@@ -419,6 +419,11 @@
 		g_ptr_array_sort(s->open, by_order);
 	s->unsorted = false;
 	gather(&pass);
+	s->sums.waiting_tasks = 0;
+	s->sums.steps_without_room = 0;
+	s->sums.steps_asking = 0;
+	s->sums.steps_not_asked = 0;
+	s->sums.gangs_waiting = 0;
 	for (guint i = 0; i < s->open->len; i++) {
 		struct plan *p = s->open->pdata[i];
 
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -11,6 +11,7 @@
 #define STOP_RETRY_MS	  700  /* a stop without an answer is sent again after that */
 #define ORDERS_MAX	  2    /* a start without an answer is sent that often, then stopped */
 #define RETRY_MS	  50   /* a task that was refused waits that long */
+#define ASK_RETRY_MS	  200  /* after the advisor did not answer */
 #define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
 #define IDLE_TICK_MS	  1000
 
@@ -534,8 +535,11 @@
 		of->advice->asking = false;
 		s->asking_us -= of->advice->cost_us;
 	}
-	if (!answered)
+	if (!answered) {
+		of->advice->retry_ms = now_ms + ASK_RETRY_MS;
 		return;
+	}
+	of->advice->answered = true;
 	for (size_t i = 0; i < n_asked; i++) {
 		const struct exec *e = g_hash_table_lookup(s->exec, asked[i]);
 		const char *got = NULL;
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -168,7 +168,11 @@
 /* Sums for logs and metrics. */
 struct scheduler_sums {
 	uint32_t open_jobs;
-	uint32_t waiting_tasks;
+	uint32_t waiting_tasks; /* of the last pass, as the four below */
+	uint32_t steps_without_room;
+	uint32_t steps_asking;
+	uint32_t steps_not_asked; /* the advisor has too much to do */
+	uint32_t gangs_waiting;
 	uint32_t runs;
 	uint32_t runners;
 	uint32_t silent_runners;
--- a/packages/cell/request/plan.h
+++ b/packages/cell/request/plan.h
@@ -38,6 +38,7 @@
 	char *checkpoint; /* NULL for none */
 	struct run *live; /* a run that may exist, owned by the scheduler */
 	uint32_t avoid;	  /* handle + 1 of the runner on which it failed last */
+	int64_t avoid_until_ms;
 	int64_t ready_ms; /* not to be started before; 0 for at once */
 };
 
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -48,6 +48,7 @@
 
 struct ask {
 	uint64_t term;
+	int64_t asked_ms;
 	char *step;
 	char **runner;
 	size_t n;
@@ -97,9 +98,11 @@
 		 "open jobs %u, runs %u, runners %u (%u silent), starts %" G_GUINT64_FORMAT
 		 ", refused %" G_GUINT64_FORMAT ", done %" G_GUINT64_FORMAT
 		 ", failed %" G_GUINT64_FORMAT ", lost %" G_GUINT64_FORMAT
-		 ", asked %" G_GUINT64_FORMAT,
+		 ", asked %" G_GUINT64_FORMAT
+		 "; waiting tasks %u, gangs %u, steps without room %u, asking %u, not asked %u",
 		 s.open_jobs, s.runs, s.runners, s.silent_runners, s.starts, s.refused,
-		 s.ends[END_DONE], s.ends[END_FAILED], s.lapsed, s.asks);
+		 s.ends[END_DONE], s.ends[END_FAILED], s.lapsed, s.asks, s.waiting_tasks,
+		 s.gangs_waiting, s.steps_without_room, s.steps_asking, s.steps_not_asked);
 }
 
 static gboolean on_timer(gpointer data)
@@ -225,6 +228,7 @@
 	uint64_t call = ++n->next_call;
 
 	a->term = n->term;
+	a->asked_ms = node_now_ms();
 	a->step = g_strdup(step);
 	a->n = count;
 	a->runner = g_new0(char *, count + 1);
@@ -245,6 +249,9 @@
 
 	if (!a)
 		return;
+	log_request(LOG_INFO, a->step, "advise", NULL,
+		    "%s: %zu of %zu runners approved after %" G_GINT64_FORMAT " ms",
+		    answered ? "answered" : "no answer", count, a->n, now - a->asked_ms);
 	if (n->scheduler && a->term == n->term) {
 		scheduler_advised(n->scheduler, a->step, (const char *const *)a->runner, a->n,
 				  ticket, count, now + validity_ms, answered, now);
