Faults of taking over, and of a store that is away

Change: answers carry term and batch, the read is dropped; shorter reads and time-outs; while the store does not answer, jobs are refused at once and the node is not ready; tasks that last come first.

--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -29,11 +29,16 @@
 	bool advised;
 };
 
+/*
+ * Tasks that last come first: they are few, and while one is down its users are not served at all.
+ */
 static int by_order(gconstpointer a, gconstpointer b)
 {
 	const struct plan *p = *(struct plan *const *)a;
 	const struct plan *q = *(struct plan *const *)b;
 
+	if (plan_lasts(p) != plan_lasts(q))
+		return plan_lasts(p) ? -1 : 1;
 	if (p->job->priority != q->job->priority)
 		return p->job->priority < q->job->priority ? -1 : 1;
 	if (p->job->accepted_ms != q->job->accepted_ms)
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -252,6 +252,11 @@
 	}
 	if (t->born_ms < e->born_ms)
 		return;
+	if (t->born_ms > e->born_ms) {
+		/* What was noted of an older life is over. */
+		lose_runs(s, e);
+		e->born_ms = t->born_ms;
+	}
 	r = run_create(s, p, t->task, t->run);
 	r->state = RUN_DOUBT;
 	r->inherited = true;
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -9,10 +9,12 @@
 #define PRODUCER	  "scheduler"
 #define PARTS		  2
 #define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_WAIT_MS	  1000
+#define LEAD_WAIT_MS	  700 /* a silent read delays cancellations, which have 3 s */
 #define LEAD_PAUSE_MS	  15  /* between reads of the scheduler: jobs that come together share one */
 #define RETRY_MS	  80  /* after a refusal or no answer */
-#define APPEND_TIMEOUT_MS 1200
+#define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
+#define REFUSALS_MAX	  3   /* then callers do better with another node */
+#define AWAY_MISSES	  2   /* calls in a row without an answer: the store is away */
 #define TICK_MS		  20
 #define CALL_BYTES_MAX	  262144 /* of an append; far below the platform's limit of a call */
 
@@ -22,6 +24,7 @@
 	size_t size;
 	int64_t until_ms;
 	bool in_doubt; /* some try had no answer */
+	uint32_t refusals;
 	done_fn fn;
 	void *ctx;
 };
@@ -57,6 +60,7 @@
 	bool leading;
 	bool fencing;
 	bool loaded;
+	uint32_t misses; /* calls in a row that the store did not serve */
 	uint64_t term;
 	uint64_t seq;
 	done_fn lead_fn;
@@ -73,6 +77,13 @@
 	GPtrArray *drops; /* keys of progress to drop with the next batch */
 };
 
+/* Answers of an older term, or of an older batch, are not taken for those of the current one. */
+struct batch_call {
+	struct joblog *log;
+	uint64_t term;
+	uint64_t batch;
+};
+
 struct read_call {
 	struct reader *reader;
 	uint32_t generation;
@@ -201,6 +212,17 @@
 	r->next = r->load_next;
 }
 
+static void note_answer(struct joblog *j, enum store_result result)
+{
+	bool served = result != STORE_UNKNOWN && result != STORE_REFUSED;
+
+	if (served && j->misses >= AWAY_MISSES)
+		log_notice("store", NULL, "the store answers again");
+	j->misses = served ? 0 : j->misses + 1;
+	if (j->misses == AWAY_MISSES)
+		log_notice("store", NULL, "the store does not answer");
+}
+
 static void on_page(void *ctx, enum store_result result, const struct store_page *page)
 {
 	struct read_call *call = ctx;
@@ -214,6 +236,7 @@
 		return;
 	r->reading = false;
 	r->due_ms = node_now_ms();
+	note_answer(j, result);
 	if (result == STORE_TRIMMED) {
 		/* Records were lost from the log before they were read: start over. */
 		log_warn("read", NULL, "the log was trimmed past offset %" G_GUINT64_FORMAT,
@@ -262,6 +285,14 @@
 
 static void send_appends(struct joblog *j);
 
+/* Whether another try is better than telling the caller, who can ask another node. */
+static bool worth_a_try(const struct joblog *j, const struct pending *p, int64_t now)
+{
+	if (p->in_doubt || joblog_away(j) || p->refusals >= REFUSALS_MAX)
+		return false;
+	return now + RETRY_MS < p->until_ms;
+}
+
 static void on_jobs_appended(void *ctx, enum store_result result, uint64_t offset)
 {
 	struct joblog *j = ctx;
@@ -269,16 +300,18 @@
 	int64_t now = node_now_ms();
 
 	j->sent = NULL;
+	note_answer(j, result);
 	for (guint i = sent->len; i > 0; i--) {
 		struct pending *p = sent->pdata[i - 1];
 
 		p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
+		p->refusals += result == STORE_REFUSED;
 		if (result == STORE_OK)
 			finish(p, STORE_OK);
-		else if (now + RETRY_MS >= p->until_ms)
-			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
-		else
+		else if (worth_a_try(j, p, now))
 			g_queue_push_head(&j->queue, p);
+		else
+			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
 	}
 	g_ptr_array_unref(sent);
 	j->append_due_ms = result == STORE_OK ? now : now + RETRY_MS;
@@ -333,8 +366,14 @@
 void joblog_append(struct joblog *j, const char *key, uint8_t *value, size_t size, int64_t until_ms,
 		   done_fn fn, void *ctx)
 {
-	struct pending *p = g_new0(struct pending, 1);
+	struct pending *p;
 
+	if (joblog_away(j)) {
+		g_free(value);
+		fn(ctx, STORE_REFUSED);
+		return;
+	}
+	p = g_new0(struct pending, 1);
 	p->key = g_strdup(key);
 	p->value = value;
 	p->size = size;
@@ -362,16 +401,20 @@
 static void drop_batch(struct joblog *j)
 {
 	g_clear_pointer(&j->batch, g_ptr_array_unref);
+	j->batch_sent = false;
 }
 
 static void on_batch_appended(void *ctx, enum store_result result, uint64_t offset)
 {
-	struct joblog *j = ctx;
-	uint64_t batch = j->batch_no;
+	struct batch_call *call = ctx;
+	struct joblog *j = call->log;
+	uint64_t batch = call->batch;
+	bool current = j->leading && call->term == j->term && j->batch && j->batch_no == batch;
 
-	j->batch_sent = false;
-	if (!j->batch || !j->leading)
+	g_free(call);
+	if (!current)
 		return;
+	j->batch_sent = false;
 	if (result == STORE_OK) {
 		j->seq++;
 		drop_batch(j);
@@ -389,10 +432,12 @@
 static void send_batch(struct joblog *j)
 {
 	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term, .seq = j->seq };
+	struct batch_call *call = g_new(struct batch_call, 1);
 
+	*call = (struct batch_call){ .log = j, .term = j->term, .batch = j->batch_no };
 	j->batch_sent = true;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, j->batch, &terms,
-			     APPEND_TIMEOUT_MS, on_batch_appended, j);
+			     APPEND_TIMEOUT_MS, on_batch_appended, call);
 }
 
 void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
@@ -437,6 +482,9 @@
 	j->fencing = false;
 	j->leading = result == STORE_OK;
 	j->lead_fn = NULL;
+	/* From here on the scheduler's own memory is newer than what a read may still bring. */
+	j->reader[JOBLOG_PROGRESS].generation++;
+	j->reader[JOBLOG_PROGRESS].reading = false;
 	if (fn)
 		fn(j->lead_ctx, result);
 }
@@ -563,6 +611,11 @@
 	return j->book;
 }
 
+bool joblog_away(const struct joblog *j)
+{
+	return j->misses >= AWAY_MISSES;
+}
+
 bool joblog_loaded(const struct joblog *j)
 {
 	return j->loaded;
--- a/packages/node/process/joblog.h
+++ b/packages/node/process/joblog.h
@@ -34,6 +34,8 @@
 struct book *joblog_book(struct joblog *j);
 /* joblog_loaded - the book was read once. */
 bool joblog_loaded(const struct joblog *j);
+/* joblog_away - the store has not served this node's last calls: appends are refused at once. */
+bool joblog_away(const struct joblog *j);
 /*
  * joblog_append - a record of the jobs' partition; several share a call. It is tried until
  * until_ms; STORE_REFUSED is said only if no try can have taken effect.
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -516,7 +516,7 @@
 
 bool node_ready(const struct node *n)
 {
-	return n->queues && !n->stopping && joblog_loaded(n->log);
+	return n->queues && !n->stopping && joblog_loaded(n->log) && !joblog_away(n->log);
 }
 
 void node_configure(struct node *n, struct queues *q)
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -43,7 +43,7 @@
 void node_stop(struct node *n);
 /* node_stopped - the lease was given back. */
 bool node_stopped(const struct node *n);
-/* node_ready - it can take jobs: a configuration is in force and the job log was read. */
+/* node_ready - it can take jobs: configured, the job log was read, and the store answers it. */
 bool node_ready(const struct node *n);
 
 /* node_configure - a version comes into force; owns q. */
