--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -605,7 +605,8 @@
 	order.seen = e->seen;
 	if (e->contacted && e->misses == 0 && !unwritten)
 		order.wait_ms = e->run->len ? LOOK_WAIT_MS : 0;
-	if (e->run->len)
+	/* One that does not answer may get every look: its lease has to be let run out. */
+	if (e->run->len && e->misses == 0)
 		order.deadline_ms = exec_grant(e, s->conf.lease_ms, s->now_ms);
 	e->looking = true;
 	e->look_sent_ms = s->now_ms;
