Tests of plans, the book, leases, the scheduler and advice; a lease bound once a runner is reached

Cause: the modules of packages/cell had no tests of their own. Writing that of a silent runner showed a fault: for 15 s after a takeover no lease counted as ended, also of runners that had answered the new scheduler, whose leases nobody else can renew. Change: once reached, a runner's leases end after one lease at most. The state of a job becomes 'running' in the record too. Tables of cases, each naming the load or failure it answers (tests/cell).

--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -14,7 +14,7 @@
  * runner's clock, which may be up to EXEC_DRIFT_MILLI slow.
  */
 #define EXEC_LABELS_MAX	 4
-#define EXEC_DRIFT_MILLI 20 /* 2%: the platform's bound on a runner's steady clock */
+#define EXEC_DRIFT_MILLI 20  /* 2%: the platform's bound on a runner's steady clock */
 #define EXEC_SLACK_MS	 100 /* timer and rounding slack on the end of a lease */
 
 struct amount {
@@ -52,18 +52,18 @@
 	uint32_t no;
 	enum run_state state;
 	struct amount need;
-	uint64_t batch;		/* of the intent */
-	char *ticket;		/* NULL for none */
+	uint64_t batch; /* of the intent */
+	char *ticket;	/* NULL for none */
 	int64_t planned_ms;
-	int64_t sent_ms;	/* of the last order */
-	int64_t on_ms;		/* when the runner is first known to have it */
-	int64_t stop_sent_ms;	/* of the last stop, 0 for none */
+	int64_t sent_ms;	  /* of the last order */
+	int64_t on_ms;		  /* when the runner is first known to have it */
+	int64_t stop_sent_ms;	  /* of the last stop, 0 for none */
 	int64_t stop_answered_ms; /* the runner won't start it any more, from then on; 0 for none */
 	uint32_t orders;
-	bool inherited;		/* ordered by an older scheduler */
-	bool stopping;		/* to be stopped */
-	bool listed;		/* in the list that is being read */
-	bool counted_on;	/* its work counts as started */
+	bool inherited;	 /* ordered by an older scheduler */
+	bool stopping;	 /* to be stopped */
+	bool listed;	 /* in the list that is being read */
+	bool counted_on; /* its work counts as started */
 };
 
 struct exec {
@@ -85,17 +85,17 @@
 	int64_t look_ms; /* not to be looked at before */
 	int64_t look_sent_ms;
 	int64_t clock_ms;
-	int64_t clock_local_ms;	 /* when clock_ms was read */
+	int64_t clock_local_ms;	  /* when clock_ms was read */
 	int64_t granted_until_ms; /* nothing runs there after that unless it is renewed */
 	int64_t answered_ms;	  /* last answer */
 	uint32_t misses;	  /* looks without an answer since */
 	uint64_t seen;		  /* ends up to here are in the store */
 	uint64_t seen_next;	  /* and up to here once seen_batch is */
 	uint64_t seen_batch;
-	uint64_t processed;	  /* ends up to here were read */
-	uint32_t faults;	  /* failures in a row */
-	int64_t barred_until_ms;  /* no starts before */
-	GPtrArray *run;		  /* of struct run */
+	uint64_t processed;	 /* ends up to here were read */
+	uint32_t faults;	 /* failures in a row */
+	int64_t barred_until_ms; /* no starts before */
+	GPtrArray *run;		 /* of struct run */
 };
 
 struct exec *exec_create(const struct runner_info *info, uint32_t handle);
@@ -105,8 +105,13 @@
 /* exec_answered - the runner's clock was clock_ms when it answered, not later than now. */
 void exec_answered(struct exec *e, int64_t clock_ms, int64_t now_ms);
 /*
- * exec_grant - deadline on the runner's clock for a lease of lease_ms from now; 0 while its clock is
- * not known. From then on what runs there may run until it.
+ * exec_reached - the runner has seen this scheduler's term: nobody else can renew what runs there,
+ * which has a lease of lease_ms at most.
+ */
+void exec_reached(struct exec *e, int64_t lease_ms, int64_t now_ms);
+/*
+ * exec_grant - deadline on the runner's clock for a lease of lease_ms from now; 0 while its clock
+ * is not known. From then on what runs there may run until it.
  */
 int64_t exec_grant(struct exec *e, int64_t lease_ms, int64_t now_ms);
 /* exec_lapsed - every lease that was granted there has surely ended. */
--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -115,7 +115,7 @@
 	if (r->state != RUN_ON) {
 		r->state = RUN_ON;
 		r->on_ms = s->now_ms;
-		r->plan->started = true;
+		plan_started(r->plan);
 	}
 	plan_checkpoint(r->plan, r->task, row->checkpoint);
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -438,7 +438,7 @@
 	if (result == START_OK) {
 		r->state = RUN_ON;
 		r->on_ms = now_ms;
-		r->plan->started = true;
+		plan_started(r->plan);
 		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
 		if (r->stopping)
 			order_stop(s, r);
@@ -497,9 +497,12 @@
 		return;
 	}
 	if (look && look->born_ms > e->born_ms && e->born_ms) {
-		struct runner_info info = { .id = runner, .address = e->address,
-					    .service = e->service, .zone = e->zone,
-					    .rack = e->rack, .room = e->room,
+		struct runner_info info = { .id = runner,
+					    .address = e->address,
+					    .service = e->service,
+					    .zone = e->zone,
+					    .rack = e->rack,
+					    .room = e->room,
 					    .born_ms = look->born_ms };
 
 		for (int i = 0; i < EXEC_LABELS_MAX; i++)
@@ -514,6 +517,8 @@
 	}
 	if (!e->born_ms)
 		e->born_ms = look->born_ms;
+	if (!e->contacted)
+		exec_reached(e, s->conf.lease_ms, now_ms);
 	exec_answered(e, look->clock_ms, now_ms);
 	looks_read(s, e, look, sent_ms);
 }
--- a/packages/cell/request/plan.c
+++ b/packages/cell/request/plan.c
@@ -84,10 +84,9 @@
 	p->step = g_new0(struct plan_step, p->n_step);
 	for (uint32_t o = 0; o < occurrences(job); o++) {
 		for (uint32_t i = 0; i < job->n_step; i++, k++) {
-			p->step[k] = (struct plan_step){ .spec = job->step[i],
-							 .occurrence = o,
-							 .index = i,
-							 .first_task = n };
+			p->step[k] = (struct plan_step){
+				.spec = job->step[i], .occurrence = o, .index = i, .first_task = n
+			};
 			n += job->step[i]->count;
 		}
 	}
@@ -166,6 +165,13 @@
 	return true;
 }
 
+void plan_started(struct plan *p)
+{
+	p->started = true;
+	if (p->state == JOB_QUEUED)
+		p->state = JOB_RUNNING;
+}
+
 bool plan_ended(const struct plan *p)
 {
 	return p->state >= JOB_DONE;
--- a/packages/cell/request/plan.h
+++ b/packages/cell/request/plan.h
@@ -23,10 +23,10 @@
 	JOB_CANCELLED,
 };
 
-#define JOB_ID_LEN	  16
-#define TASK_NAME_BYTES	  64
-#define PLAN_TASKS_MAX	  4000 /* of a job; bounds the memory that one submission can take */
-#define CHECKPOINT_BYTES  64	/* longest checkpoint that is kept */
+#define JOB_ID_LEN	 16
+#define TASK_NAME_BYTES	 64
+#define PLAN_TASKS_MAX	 4000 /* of a job; bounds the memory that one submission can take */
+#define CHECKPOINT_BYTES 64   /* longest checkpoint that is kept */
 
 struct run;
 struct advice;
@@ -59,7 +59,7 @@
 	enum job_state state;
 	enum job_state shown; /* state that stands in the store */
 	bool cancelled;
-	bool started; /* a task was started once */
+	bool started;	  /* a task was started once */
 	int64_t ended_ms; /* wall clock; 0 while it goes on */
 	uint32_t n_task;
 	uint32_t n_step;
@@ -67,10 +67,10 @@
 	struct plan_step *step;
 	Cell__Progress *stored; /* progress as last read, NULL for none */
 	/* Of the scheduler. */
-	bool dirty;	/* has changed since it was written */
-	bool listed;	/* among the open jobs */
-	uint32_t live;	/* runs that may exist */
-	uint32_t failed_on; /* handle + 1 of the runner on which a task failed first */
+	bool dirty;		      /* has changed since it was written */
+	bool listed;		      /* among the open jobs */
+	uint32_t live;		      /* runs that may exist */
+	uint32_t failed_on;	      /* handle + 1 of the runner on which a task failed first */
 	enum job_state written_state; /* in the batch written last */
 	uint64_t written_batch;
 };
@@ -97,6 +97,8 @@
 /* plan_due_ms - wall clock at which the occurrence is due; 0 for a job without times. */
 int64_t plan_due_ms(const struct plan *p, uint32_t occurrence);
 bool plan_ended(const struct plan *p);
+/* plan_started - a task of the job runs. */
+void plan_started(struct plan *p);
 /* plan_task_done - notes the end of a task; with a gang, of all its members. */
 void plan_task_done(struct plan *p, uint32_t task);
 /*
--- /dev/null
+++ b/tests/cell/bed.c
@@ -0,0 +1,395 @@
+#include <string.h>
+
+#include "bed.h"
+
+#define BORN_MS 1000
+#define MIB	1048576
+
+static void start_op(void *ctx, const struct start_order *o)
+{
+	struct bed *b = ctx;
+	struct bed_start s = { .runner = g_strdup(o->runner),
+			       .task = g_strdup(o->task),
+			       .ticket = g_strdup(o->ticket),
+			       .checkpoint = g_strdup(o->checkpoint),
+			       .run = o->run,
+			       .deadline_ms = o->deadline_ms,
+			       .rank = o->route.rank };
+
+	g_array_append_val(b->start, s);
+	b->starts++;
+}
+
+static void stop_op(void *ctx, const struct route *route, const char *runner, const char *address,
+		    const char *task, uint32_t run)
+{
+	struct bed *b = ctx;
+	struct bed_stop s = { .runner = g_strdup(runner), .task = g_strdup(task), .run = run };
+
+	g_array_append_val(b->stop, s);
+}
+
+static void look_op(void *ctx, const struct look_order *o)
+{
+	struct bed *b = ctx;
+	struct bed_look l = { .runner = g_strdup(o->runner),
+			      .deadline_ms = o->deadline_ms,
+			      .seen = o->seen,
+			      .wait_ms = o->wait_ms };
+
+	g_array_append_val(b->look, l);
+}
+
+static void ask_op(void *ctx, const char *step, const char *const *runner, size_t n,
+		   uint64_t cost_us)
+{
+	struct bed *b = ctx;
+	struct bed_ask a = { .step = g_strdup(step), .runner = g_new0(char *, n + 1), .n = n };
+
+	for (size_t i = 0; i < n; i++)
+		a.runner[i] = g_strdup(runner[i]);
+	g_array_append_val(b->ask, a);
+	b->asks++;
+}
+
+static void write_op(void *ctx, uint64_t batch, GPtrArray *records)
+{
+	struct bed *b = ctx;
+
+	b->batch = batch;
+	b->records = records;
+}
+
+static void expire_op(void *ctx, const char *id)
+{
+}
+
+static void fenced_op(void *ctx, const char *by)
+{
+	((struct bed *)ctx)->fenced++;
+}
+
+static const struct scheduler_ops ops = {
+	.start = start_op,
+	.stop = stop_op,
+	.look = look_op,
+	.ask = ask_op,
+	.write = write_op,
+	.expire = expire_op,
+	.fenced = fenced_op,
+};
+
+static void on_changed(void *ctx, struct plan *p)
+{
+	struct bed *b = ctx;
+
+	if (b->sched)
+		scheduler_job(b->sched, p, b->now_ms);
+}
+
+static void on_dropped(void *ctx, struct plan *p)
+{
+	struct bed *b = ctx;
+
+	if (b->sched)
+		scheduler_job_dropped(b->sched, p);
+}
+
+static const struct book_ops book_ops = { .changed = on_changed, .dropped = on_dropped };
+
+static void clear_start(gpointer data)
+{
+	struct bed_start *s = data;
+
+	g_free(s->runner);
+	g_free(s->task);
+	g_free(s->ticket);
+	g_free(s->checkpoint);
+}
+
+static void clear_stop(gpointer data)
+{
+	struct bed_stop *s = data;
+
+	g_free(s->runner);
+	g_free(s->task);
+}
+
+static void clear_look(gpointer data)
+{
+	g_free(((struct bed_look *)data)->runner);
+}
+
+static void clear_ask(gpointer data)
+{
+	struct bed_ask *a = data;
+
+	g_free(a->step);
+	g_strfreev(a->runner);
+}
+
+struct bed *bed_create(void)
+{
+	struct bed *b = g_new0(struct bed, 1);
+
+	b->now_ms = 1000000;
+	b->wall_ms = 1760000000000;
+	b->book = book_create();
+	b->queues = queues_create(1);
+	b->start = g_array_new(FALSE, FALSE, sizeof(struct bed_start));
+	b->stop = g_array_new(FALSE, FALSE, sizeof(struct bed_stop));
+	b->look = g_array_new(FALSE, FALSE, sizeof(struct bed_look));
+	b->ask = g_array_new(FALSE, FALSE, sizeof(struct bed_ask));
+	g_array_set_clear_func(b->start, clear_start);
+	g_array_set_clear_func(b->stop, clear_stop);
+	g_array_set_clear_func(b->look, clear_look);
+	g_array_set_clear_func(b->ask, clear_ask);
+	book_watch(b->book, &book_ops, b);
+	return b;
+}
+
+void bed_destroy(struct bed *b)
+{
+	scheduler_destroy(b->sched);
+	book_destroy(b->book);
+	queues_destroy(b->queues);
+	if (b->records)
+		g_ptr_array_unref(b->records);
+	g_array_unref(b->start);
+	g_array_unref(b->stop);
+	g_array_unref(b->look);
+	g_array_unref(b->ask);
+	g_free(b);
+}
+
+void bed_queue(struct bed *b, const char *name, const char *service, uint32_t priority,
+	       uint32_t attempts, uint32_t decide_ms)
+{
+	struct queue q = { .name = (char *)name,
+			   .host = "cell.example",
+			   .prefix = (char *)name,
+			   .service = (char *)service,
+			   .priority = priority,
+			   .attempts_max = attempts,
+			   .stretch_milli = 2000,
+			   .objective_ms = 1000,
+			   .advised = decide_ms > 0,
+			   .decide_us = decide_ms * 1000,
+			   .interval_us = decide_ms * 10 };
+
+	queues_add(b->queues, &q);
+}
+
+void bed_begin(struct bed *b)
+{
+	static const struct scheduler_conf conf = { .lease_ms = 6000,
+						    .stop_ms = 900,
+						    .gang_ms = 3000,
+						    .status_keep_ms = 120000,
+						    .inherited_ms = 15000 };
+
+	b->sched = scheduler_create(&conf, b->book, &ops, b, b->now_ms);
+	scheduler_configure(b->sched, b->queues);
+	scheduler_set_helpers(b->sched, 8);
+}
+
+void bed_runner(struct bed *b, const char *id, const char *service, const char *rack,
+		int64_t cpu_milli, int64_t accel)
+{
+	struct runner_info info = { .id = id,
+				    .address = "10.0.0.1:80",
+				    .service = service,
+				    .zone = "dc",
+				    .rack = rack,
+				    .label = { "a", rack },
+				    .room = { .cpu_milli = cpu_milli,
+					      .mem_bytes = (int64_t)1024 * MIB,
+					      .accel = accel },
+				    .born_ms = BORN_MS };
+
+	scheduler_runner(b->sched, &info, b->now_ms);
+}
+
+Cell__Step *bed_add_step(Cell__Job *job, uint32_t count, uint32_t cpu_milli)
+{
+	Cell__Step *s = g_new(Cell__Step, 1);
+
+	cell__step__init(s);
+	s->count = count;
+	s->cpu_milli = cpu_milli;
+	s->mem_bytes = MIB;
+	s->estimate_ms = 500;
+	s->label = g_strdup("");
+	s->rack = g_strdup("");
+	s->image = g_strdup("");
+	job->step = g_renew(Cell__Step *, job->step, job->n_step + 1);
+	job->step[job->n_step++] = s;
+	return s;
+}
+
+Cell__Job *bed_job(const char *id, const char *queue, uint32_t count, uint32_t cpu_milli)
+{
+	static int64_t accepted_ms = 1760000000000;
+	Cell__Job *job = g_new(Cell__Job, 1);
+
+	cell__job__init(job);
+	job->id = g_strdup(id);
+	job->queue = g_strdup(queue);
+	job->service = g_strdup("desk");
+	job->payload = g_strdup("payload");
+	job->attempts_max = 3;
+	job->accepted_ms = accepted_ms++;
+	bed_add_step(job, count, cpu_milli);
+	return job;
+}
+
+void bed_submit(struct bed *b, Cell__Job *job)
+{
+	size_t size = cell__job__get_packed_size(job);
+	g_autofree uint8_t *buf = g_malloc(size);
+	const struct queue *q = queues_find(b->queues, job->queue);
+
+	job->priority = q ? q->priority : 0;
+	job->attempts_max = q ? q->attempts_max : job->attempts_max;
+	size = cell__job__get_packed_size(job);
+	g_free(buf);
+	buf = g_malloc(size);
+	cell__job__pack(job, buf);
+	book_apply(b->book, job->id, buf, size);
+	cell__job__free_unpacked(job, NULL);
+}
+
+void bed_cancel(struct bed *b, const char *id)
+{
+	g_autofree char *key = g_strdup_printf("%s/c", id);
+
+	book_apply(b->book, key, (const uint8_t *)"\1", 1);
+}
+
+void bed_pass(struct bed *b, int64_t ms)
+{
+	b->now_ms += ms;
+	b->wall_ms += ms;
+	scheduler_tick(b->sched, b->now_ms, b->wall_ms);
+}
+
+uint32_t bed_ack(struct bed *b)
+{
+	uint64_t batch = b->batch;
+	uint32_t n;
+
+	if (!batch)
+		return 0;
+	n = b->records->len;
+	b->batch = 0;
+	g_clear_pointer(&b->records, g_ptr_array_unref);
+	scheduler_written(b->sched, batch, b->now_ms);
+	bed_pass(b, 0);
+	return n;
+}
+
+static bool take_look(struct bed *b, const char *runner, const struct look *look)
+{
+	g_autofree char *id = g_strdup(runner);
+
+	for (guint i = 0; i < b->look->len; i++) {
+		if (!g_str_equal(g_array_index(b->look, struct bed_look, i).runner, id))
+			continue;
+		g_array_remove_index(b->look, i);
+		scheduler_looked(b->sched, id, look, b->now_ms);
+		return true;
+	}
+	return false;
+}
+
+bool bed_look_answer(struct bed *b, const char *runner, const struct look_running *running,
+		     size_t n_running, const struct look_ended *ended, size_t n_ended)
+{
+	struct look look = { .born_ms = BORN_MS,
+			     .clock_ms = b->now_ms - 500000,
+			     .running = running,
+			     .n_running = n_running,
+			     .ended = ended,
+			     .n_ended = n_ended };
+
+	return take_look(b, runner, &look);
+}
+
+bool bed_look_silent(struct bed *b, const char *runner)
+{
+	return take_look(b, runner, NULL);
+}
+
+void bed_settle(struct bed *b)
+{
+	bed_pass(b, 1);
+	while (b->look->len) {
+		g_autofree char *runner =
+			g_strdup(g_array_index(b->look, struct bed_look, 0).runner);
+
+		bed_look_answer(b, runner, NULL, 0, NULL, 0);
+	}
+	bed_pass(b, 1);
+}
+
+bool bed_start_answer(struct bed *b, const char *task, enum start_result result)
+{
+	for (guint i = 0; i < b->start->len; i++) {
+		struct bed_start s = g_array_index(b->start, struct bed_start, i);
+		g_autofree char *runner = NULL;
+
+		if (!g_str_equal(s.task, task))
+			continue;
+		runner = g_strdup(s.runner);
+		g_array_remove_index(b->start, i);
+		scheduler_started(b->sched, runner, task, s.run, result, b->now_ms - 500000,
+				  b->now_ms);
+		return true;
+	}
+	return false;
+}
+
+void bed_accept_all(struct bed *b)
+{
+	while (b->start->len) {
+		g_autofree char *task = g_strdup(g_array_index(b->start, struct bed_start, 0).task);
+
+		bed_start_answer(b, task, START_OK);
+	}
+}
+
+void bed_end(struct bed *b, const char *runner, uint64_t no, const char *task, uint32_t run,
+	     enum run_end end)
+{
+	struct look_ended e = { .no = no, .task = task, .run = run, .end = end, .checkpoint = "" };
+
+	bed_pass(b, 1);
+	bed_look_answer(b, runner, NULL, 0, &e, 1);
+}
+
+bool bed_advise(struct bed *b, const char *approved, int64_t validity_ms)
+{
+	struct bed_ask a;
+	g_autofree struct ticket *ticket = NULL;
+	size_t n = 0;
+
+	if (!b->ask->len)
+		return false;
+	a = g_array_index(b->ask, struct bed_ask, 0);
+	ticket = g_new0(struct ticket, a.n + 1);
+	for (size_t i = 0; i < a.n; i++) {
+		if (*approved && !strstr(approved, a.runner[i]))
+			continue;
+		ticket[n].runner = a.runner[i];
+		ticket[n++].ticket = "ticket";
+	}
+	scheduler_advised(b->sched, a.step, (const char *const *)a.runner, a.n, ticket, n,
+			  b->now_ms + validity_ms, true, b->now_ms);
+	g_array_remove_index(b->ask, 0);
+	return true;
+}
+
+struct plan *bed_plan(struct bed *b, const char *id)
+{
+	return book_find(b->book, id);
+}
--- /dev/null
+++ b/tests/cell/test_advice.c
@@ -0,0 +1,166 @@
+#include <criterion/criterion.h>
+
+#include "bed.h"
+
+/* The advisor under load: who is asked about, how often, and what waits for its answer. */
+
+#define ID_A "00000000000000a1"
+#define ID_B "00000000000000b2"
+
+static struct bed *advised_bed(uint32_t runners)
+{
+	struct bed *b = bed_create();
+
+	bed_queue(b, "quick", "desk", 0, 3, 17);
+	bed_queue(b, "slow", "desk", 1, 3, 400);
+	bed_begin(b);
+	for (uint32_t i = 0; i < runners; i++) {
+		g_autofree char *id = g_strdup_printf("r%u", i);
+
+		bed_runner(b, id, "desk", "rack0", 1000, 8);
+	}
+	bed_settle(b);
+	return b;
+}
+
+static const struct bed_ask *question(struct bed *b)
+{
+	return &g_array_index(b->ask, struct bed_ask, 0);
+}
+
+Test(advice, starts_carry_the_ticket_of_an_approved_runner)
+{
+	struct bed *b = advised_bed(3);
+
+	bed_submit(b, bed_job(ID_A, "quick", 2, 100));
+	bed_pass(b, 1);
+	cr_assert_eq(b->batch, 0);
+	cr_assert_eq(question(b)->n, 3);
+	cr_assert(bed_advise(b, "r1", 2000));
+	bed_pass(b, 1);
+	bed_ack(b);
+	cr_assert_eq(b->starts, 2);
+	for (guint i = 0; i < b->start->len; i++) {
+		cr_assert_str_eq(g_array_index(b->start, struct bed_start, i).runner, "r1");
+		cr_assert_str_eq(g_array_index(b->start, struct bed_start, i).ticket, "ticket");
+	}
+	bed_destroy(b);
+}
+
+Test(advice, an_expired_ticket_is_asked_for_again_of_the_approved_only)
+{
+	struct bed *b = advised_bed(3);
+
+	bed_submit(b, bed_job(ID_A, "quick", 1, 100));
+	bed_pass(b, 1);
+	bed_advise(b, "r1", 100);
+	bed_pass(b, 1);
+	cr_assert_eq(b->batch, 0, "it would be over before the order comes");
+	cr_assert_eq(question(b)->n, 1);
+	cr_assert_str_eq(question(b)->runner[0], "r1");
+	bed_destroy(b);
+}
+
+/* Pattern: gangs wait on a full pool. The decision takes 400 ms, a name 4: all are named at once.
+ */
+Test(advice, a_gang_names_all_runners_at_once_also_without_room)
+{
+	struct bed *b = advised_bed(6);
+	Cell__Job *filler = bed_job(ID_A, "quick", 6, 900);
+	Cell__Job *gang = bed_job(ID_B, "slow", 2, 900);
+
+	bed_submit(b, filler);
+	bed_pass(b, 1);
+	bed_advise(b, "", 2000);
+	bed_pass(b, 1);
+	bed_ack(b);
+	bed_accept_all(b);
+	gang->step[0]->gang = true;
+	bed_submit(b, gang);
+	bed_pass(b, 1);
+	cr_assert_eq(question(b)->n, 6);
+	bed_advise(b, "r2r3r4", 2000);
+	for (int i = 0; i < 30; i++)
+		bed_pass(b, 100);
+	cr_assert_eq(b->asks, 2, "nothing is asked while no room could be used");
+	bed_destroy(b);
+}
+
+/*
+ * Pattern: one failed task among many waits for a runner that it avoids. It used to ask 108 times
+ * a day and took the advisor's time from all others.
+ */
+Test(advice, a_task_that_avoids_the_only_approved_runner_does_not_ask_on)
+{
+	struct bed *b = advised_bed(1);
+	uint32_t asks;
+
+	bed_submit(b, bed_job(ID_A, "slow", 1, 100));
+	bed_pass(b, 1);
+	bed_advise(b, "", 2000);
+	bed_pass(b, 1);
+	bed_ack(b);
+	bed_accept_all(b);
+	bed_end(b, "r0", 1, ID_A ".0.0.0", 1, END_FAILED);
+	bed_pass(b, 1);
+	bed_ack(b);
+	asks = b->asks;
+	for (int i = 0; i < 30; i++)
+		bed_pass(b, 100);
+	cr_assert_eq(b->asks, asks);
+	bed_destroy(b);
+}
+
+/* Pattern: more jobs than the advisor can answer for. Room is kept only for those it was asked for.
+ */
+Test(advice, steps_that_were_not_asked_for_keep_no_room)
+{
+	struct bed *b = advised_bed(1);
+
+	bed_queue(b, "free", "desk", 5, 3, 0);
+	scheduler_set_helpers(b->sched, 1);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("00000000000000d%d", i);
+
+		bed_submit(b, bed_job(id, "slow", 2, 100));
+	}
+	bed_submit(b, bed_job(ID_A, "free", 10, 100));
+	bed_pass(b, 1);
+	cr_assert_eq(b->asks, 1, "more would wait at the advisor for longer than tickets last");
+	bed_ack(b);
+	cr_assert_eq(b->starts, 8, "room for two is kept for the one that was asked for");
+	bed_destroy(b);
+}
+
+Test(advice, no_answer_is_asked_again_after_a_while)
+{
+	struct bed *b = advised_bed(1);
+
+	bed_submit(b, bed_job(ID_A, "quick", 1, 100));
+	bed_pass(b, 1);
+	scheduler_advised(b->sched, ID_A ".0.0", NULL, 0, NULL, 0, 0, false, b->now_ms);
+	bed_pass(b, 1);
+	cr_assert_eq(b->asks, 1);
+	bed_pass(b, 250);
+	cr_assert_eq(b->asks, 2);
+	bed_destroy(b);
+}
+
+/* Pattern: a full pool, urgent work and tasks that last: those come first, they are few. */
+Test(advice, tasks_that_last_come_before_urgent_ones)
+{
+	struct bed *b = advised_bed(1);
+	Cell__Job *lasting = bed_job(ID_B, "slow", 1, 600);
+
+	lasting->step[0]->lasting = true;
+	bed_submit(b, bed_job(ID_A, "quick", 1, 600));
+	bed_submit(b, lasting);
+	bed_pass(b, 1);
+	while (bed_advise(b, "", 2000))
+		;
+	bed_pass(b, 1);
+	bed_ack(b);
+	cr_assert_eq(b->starts, 1);
+	cr_assert_str_eq(g_array_index(b->start, struct bed_start, 0).task, ID_B ".0.0.0");
+	bed_destroy(b);
+}
--- /dev/null
+++ b/tests/cell/test_book.c
@@ -0,0 +1,154 @@
+#include <criterion/criterion.h>
+
+#include "bed.h"
+
+#define ID "00000000000000a1"
+
+struct rec {
+	char *key;
+	uint8_t *value;
+	size_t size;
+};
+
+static struct rec job_record(void)
+{
+	Cell__Job *job = bed_job(ID, "q", 2, 100);
+	struct rec r = { .key = ID };
+
+	r.size = cell__job__get_packed_size(job);
+	r.value = g_malloc(r.size);
+	cell__job__pack(job, r.value);
+	cell__job__free_unpacked(job, NULL);
+	return r;
+}
+
+static struct rec progress_record(void)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
+	Cell__TaskProgress *rows[] = { &t };
+	struct rec r = { .key = ID "/p" };
+
+	t.run = 1;
+	t.done = true;
+	m.state = JOB_RUNNING;
+	m.task = rows;
+	m.n_task = 1;
+	r.size = cell__progress__get_packed_size(&m);
+	r.value = g_malloc(r.size);
+	cell__progress__pack(&m, r.value);
+	return r;
+}
+
+/* The records of one job come from two partitions, so in any order. */
+Test(book, order_of_records_does_not_matter)
+{
+	static const int orders[][3] = { { 0, 1, 2 }, { 0, 2, 1 }, { 1, 0, 2 },
+					 { 1, 2, 0 }, { 2, 0, 1 }, { 2, 1, 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+		struct rec r[] = { job_record(),
+				   progress_record(),
+				   { .key = ID "/c", .value = g_memdup2("\1", 1), .size = 1 } };
+		struct book *b = book_create();
+		struct plan *p;
+
+		for (int k = 0; k < 3; k++) {
+			const struct rec *x = &r[orders[i][k]];
+
+			cr_expect(book_apply(b, x->key, x->value, x->size));
+		}
+		p = book_find(b, ID);
+		cr_assert_not_null(p, "order %zu", i);
+		cr_expect(p->cancelled, "order %zu", i);
+		cr_expect_eq(p->shown, JOB_RUNNING, "order %zu", i);
+		cr_expect(p->task[0].done, "order %zu", i);
+		book_destroy(b);
+		for (int k = 0; k < 3; k++)
+			g_free(r[k].value);
+	}
+}
+
+Test(book, repeated_submission_is_one_job)
+{
+	struct rec r = job_record();
+	struct rec prog = progress_record();
+	struct book *b = book_create();
+
+	book_apply(b, r.key, r.value, r.size);
+	book_apply(b, prog.key, prog.value, prog.size);
+	cr_assert(book_apply(b, r.key, r.value, r.size));
+	cr_assert_eq(book_count(b), 1);
+	cr_assert(book_find(b, ID)->task[0].done);
+	book_destroy(b);
+	g_free(r.value);
+	g_free(prog.value);
+}
+
+Test(book, waiting_counts_jobs_without_a_start)
+{
+	struct rec r = job_record();
+	struct rec prog = progress_record();
+	struct book *b = book_create();
+
+	cr_assert_eq(book_waiting(b, "q"), 0);
+	book_apply(b, r.key, r.value, r.size);
+	cr_assert_eq(book_waiting(b, "q"), 1);
+	cr_assert_eq(book_waiting(b, "other"), 0);
+	book_apply(b, prog.key, prog.value, prog.size);
+	cr_assert_eq(book_waiting(b, "q"), 0);
+	book_destroy(b);
+	g_free(r.value);
+	g_free(prog.value);
+}
+
+struct bad_case {
+	const char *what;
+	const char *key;
+	const char *value;
+	size_t size;
+};
+
+Test(book, unreadable_records_change_nothing)
+{
+	static const struct bad_case cases[] = {
+		{ "no id", "x", "abc", 3 },
+		{ "empty key", "", "abc", 3 },
+		{ "id with another character", "00000000000000g1", "abc", 3 },
+		{ "unknown kind", ID "/z", "abc", 3 },
+		{ "job that is none", ID, "\xff\xff\xff", 3 },
+		{ "progress that is none", ID "/p", "\xff\xff\xff", 3 },
+	};
+	struct rec r = job_record();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct book *b = book_create();
+
+		cr_expect_not(
+			book_apply(b, cases[i].key, (const uint8_t *)cases[i].value, cases[i].size),
+			"%s", cases[i].what);
+		cr_expect_eq(book_count(b), 0, "%s", cases[i].what);
+		book_destroy(b);
+	}
+	g_free(r.value);
+}
+
+Test(book, dropped_keys)
+{
+	struct rec r = job_record();
+	struct rec prog = progress_record();
+	struct book *b = book_create();
+
+	book_apply(b, r.key, r.value, r.size);
+	book_apply(b, ID "/p", NULL, 0);
+	cr_assert_not_null(book_find(b, ID), "only progress was dropped");
+	book_apply(b, ID, NULL, 0);
+	cr_assert_null(book_find(b, ID));
+	/* Old progress that is read after the job was dropped leaves nothing behind. */
+	book_apply(b, prog.key, prog.value, prog.size);
+	book_apply(b, ID "/p", NULL, 0);
+	cr_assert_eq(book_count(b), 0);
+	book_destroy(b);
+	g_free(r.value);
+	g_free(prog.value);
+}
