--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -213,19 +213,23 @@
 		append(e, CELL__LEAD_KIND__RENEWAL);
 }
 
-static gboolean on_tick(gpointer data)
+void election_tick(struct election *e)
 {
-	struct election *e = data;
 	int64_t now = node_now_ms();
 
 	if (e->appending || now < e->retry_ms)
-		return G_SOURCE_CONTINUE;
+		return;
 	if (e->leading)
 		lead(e, now);
 	else if (may_claim(e, now))
 		append(e, CELL__LEAD_KIND__CLAIM);
 	else if (!e->reading)
 		read_log(e, e->caught_up ? READ_WAIT_MS : 0);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	election_tick(data);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -247,7 +251,7 @@
 {
 	if (!e->timer)
 		e->timer = g_timeout_add(TICK_MS, on_tick, e);
-	read_log(e, 0);
+	election_tick(e);
 }
 
 void election_destroy(struct election *e)
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -30,7 +30,9 @@
 struct election *election_create(const struct store *store, const char *self, const char *address,
 				 const struct election_ops *ops, void *ctx);
 void election_destroy(struct election *e);
+/* election_start - from then on the loop calls election_tick() often enough. */
 void election_start(struct election *e);
+void election_tick(struct election *e);
 /* election_release - gives the lease back and never claims again. */
 void election_release(struct election *e);
 /* election_superseded - a runner or the log has seen a higher term. */
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -9,9 +9,9 @@
 #define PRODUCER	  "scheduler"
 #define PARTS		  2
 #define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_WAIT_MS	  700 /* a silent read delays cancellations, which have 3 s */
-#define LEAD_PAUSE_MS	  15  /* between reads of the scheduler: jobs that come together share one */
-#define RETRY_MS	  80  /* after a refusal or no answer */
+#define LEAD_WAIT_MS	  700  /* a silent read delays cancellations, which have 3 s */
+#define LEAD_PAUSE_MS	  15 /* between reads of the scheduler: jobs that come together share one */
+#define RETRY_MS	  80 /* after a refusal or no answer */
 #define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
 #define REFUSALS_MAX	  3   /* then callers do better with another node */
 #define AWAY_MISSES	  2   /* calls in a row without an answer: the store is away */
@@ -40,7 +40,7 @@
 	uint32_t part;
 	uint64_t next;
 	char *after; /* key after which the newest records are read on, NULL once they were read */
-	uint64_t load_next; /* where to read on after that */
+	uint64_t load_next;  /* where to read on after that */
 	uint32_t generation; /* answers of older ones are dropped */
 	bool reading;
 	bool end_seen; /* in the refresh under way */
@@ -546,9 +546,8 @@
 		send_batch(j);
 }
 
-static gboolean on_tick(gpointer data)
+void joblog_tick(struct joblog *j)
 {
-	struct joblog *j = data;
 	int64_t now = node_now_ms();
 
 	send_appends(j);
@@ -560,6 +559,11 @@
 		if (!r->reading && r->due_ms <= now && reads_part(j, i))
 			read_part(r);
 	}
+}
+
+static gboolean on_tick(gpointer data)
+{
+	joblog_tick(data);
 	return G_SOURCE_CONTINUE;
 }
 
--- /dev/null
+++ b/tests/node/fakestore.c
@@ -0,0 +1,382 @@
+#include <string.h>
+
+#include "fakestore.h"
+
+int64_t fake_now_ms = 1000000;
+
+int64_t node_now_ms(void)
+{
+	return fake_now_ms;
+}
+
+int64_t node_wall_ms(void)
+{
+	return 1760000000000 + fake_now_ms;
+}
+
+struct rec {
+	char *key;
+	uint8_t *value;
+	size_t size;
+};
+
+struct part {
+	GArray *rec;
+	uint64_t epoch;
+	uint64_t seq;
+	uint64_t last_offset;
+};
+
+struct fake_log {
+	GHashTable *part; /* "topic/part" */
+	GPtrArray *client;
+};
+
+enum call_kind {
+	CALL_APPEND,
+	CALL_READ,
+	CALL_NEWEST,
+};
+
+struct call {
+	enum call_kind kind;
+	char *where;
+	GPtrArray *records;
+	struct append_terms terms;
+	uint64_t from;
+	uint32_t wait_ms;
+	int64_t asked_ms;
+	appended_fn appended;
+	page_fn page;
+	void *ctx;
+	/* An answer that was made up and is held back. */
+	bool made;
+	uint64_t made_end;
+};
+
+struct fake_client {
+	struct fake_log *log;
+	enum fake_mode mode;
+	GPtrArray *call;
+	char *held;
+	uint32_t appends;
+};
+
+static void rec_clear(gpointer data)
+{
+	struct rec *r = data;
+
+	g_free(r->key);
+	g_free(r->value);
+}
+
+static void part_free(gpointer data)
+{
+	struct part *p = data;
+
+	g_array_unref(p->rec);
+	g_free(p);
+}
+
+static void call_free(gpointer data)
+{
+	struct call *c = data;
+
+	if (c->records)
+		g_ptr_array_unref(c->records);
+	g_free(c->where);
+	g_free(c);
+}
+
+static void client_free(gpointer data)
+{
+	struct fake_client *c = data;
+
+	g_ptr_array_unref(c->call);
+	g_free(c->held);
+	g_free(c);
+}
+
+struct fake_log *fake_log_create(void)
+{
+	struct fake_log *l = g_new0(struct fake_log, 1);
+
+	l->part = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, part_free);
+	l->client = g_ptr_array_new_with_free_func(client_free);
+	return l;
+}
+
+void fake_log_destroy(struct fake_log *l)
+{
+	g_hash_table_unref(l->part);
+	g_ptr_array_unref(l->client);
+	g_free(l);
+}
+
+struct fake_client *fake_client_create(struct fake_log *l)
+{
+	struct fake_client *c = g_new0(struct fake_client, 1);
+
+	c->log = l;
+	c->call = g_ptr_array_new_with_free_func(call_free);
+	g_ptr_array_add(l->client, c);
+	return c;
+}
+
+void fake_mode(struct fake_client *c, enum fake_mode mode)
+{
+	c->mode = mode;
+}
+
+static struct part *part_of(struct fake_log *l, const char *where)
+{
+	struct part *p = g_hash_table_lookup(l->part, where);
+
+	if (p)
+		return p;
+	p = g_new0(struct part, 1);
+	p->rec = g_array_new(FALSE, TRUE, sizeof(struct rec));
+	g_array_set_clear_func(p->rec, rec_clear);
+	g_hash_table_insert(l->part, g_strdup(where), p);
+	return p;
+}
+
+void fake_forget(struct fake_client *c)
+{
+	g_ptr_array_set_size(c->call, 0);
+}
+
+static char *where_of(const char *topic, uint32_t part)
+{
+	return g_strdup_printf("%s/%u", topic, part);
+}
+
+static void add(struct part *p, const char *key, const uint8_t *value, size_t size)
+{
+	struct rec r = { .key = g_strdup(key), .value = g_memdup2(value, size), .size = size };
+
+	g_array_append_val(p->rec, r);
+}
+
+void fake_put(struct fake_log *l, const char *topic, uint32_t part, const char *key,
+	      const uint8_t *value, size_t size)
+{
+	g_autofree char *where = where_of(topic, part);
+
+	add(part_of(l, where), key, value, size);
+}
+
+uint32_t fake_count(struct fake_log *l, const char *topic, uint32_t part)
+{
+	g_autofree char *where = where_of(topic, part);
+
+	return part_of(l, where)->rec->len;
+}
+
+uint32_t fake_appends(const struct fake_client *c)
+{
+	return c->appends;
+}
+
+static void record_free(gpointer data)
+{
+	struct log_record *r = data;
+
+	g_free(r->key);
+	g_free(r->value);
+	g_free(r);
+}
+
+static void on_append(void *impl, const char *topic, uint32_t part, const GPtrArray *records,
+		      const struct append_terms *terms, uint32_t timeout_ms, appended_fn fn,
+		      void *ctx)
+{
+	struct fake_client *c = impl;
+	struct call *call = g_new0(struct call, 1);
+
+	c->appends++;
+	call->kind = CALL_APPEND;
+	call->where = where_of(topic, part);
+	call->records = g_ptr_array_new_with_free_func(record_free);
+	for (guint i = 0; i < records->len; i++) {
+		const struct log_record *r = records->pdata[i];
+		struct log_record *copy = g_new0(struct log_record, 1);
+
+		copy->key = g_strdup(r->key);
+		copy->value = g_memdup2(r->value, r->size);
+		copy->size = r->size;
+		g_ptr_array_add(call->records, copy);
+	}
+	call->terms = *terms;
+	call->appended = fn;
+	call->ctx = ctx;
+	g_ptr_array_add(c->call, call);
+}
+
+static struct call *page_call(struct fake_client *c, enum call_kind kind, const char *topic,
+			      uint32_t part, page_fn fn, void *ctx)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->kind = kind;
+	call->where = where_of(topic, part);
+	call->page = fn;
+	call->ctx = ctx;
+	call->asked_ms = fake_now_ms;
+	g_ptr_array_add(c->call, call);
+	return call;
+}
+
+static void on_read(void *impl, const char *topic, uint32_t part, uint64_t from, uint32_t wait_ms,
+		    page_fn fn, void *ctx)
+{
+	struct call *call = page_call(impl, CALL_READ, topic, part, fn, ctx);
+
+	call->from = from;
+	call->wait_ms = wait_ms;
+}
+
+static void on_newest(void *impl, const char *topic, uint32_t part, const char *after, page_fn fn,
+		      void *ctx)
+{
+	page_call(impl, CALL_NEWEST, topic, part, fn, ctx);
+}
+
+static const struct store_ops fake_ops = {
+	.append = on_append,
+	.read = on_read,
+	.newest = on_newest,
+};
+
+struct store fake_store(struct fake_client *c)
+{
+	return (struct store){ .ops = &fake_ops, .impl = c };
+}
+
+static enum store_result do_append(struct part *p, const struct call *call, uint64_t *offset)
+{
+	const struct append_terms *t = &call->terms;
+
+	*offset = p->rec->len;
+	if (t->at_end && t->end != p->rec->len)
+		return STORE_ENDS_ELSEWHERE;
+	if (t->producer && t->epoch < p->epoch)
+		return STORE_FENCED;
+	if (t->producer && call->records->len && t->epoch == p->epoch && t->seq == p->seq) {
+		*offset = p->last_offset;
+		return STORE_OK;
+	}
+	if (t->producer && call->records->len && t->epoch == p->epoch && p->seq &&
+	    t->seq != p->seq + 1)
+		return STORE_OUT_OF_SEQUENCE;
+	if (t->producer) {
+		if (t->epoch > p->epoch)
+			p->seq = 0;
+		p->epoch = t->epoch;
+		if (call->records->len)
+			p->seq = t->seq;
+	}
+	p->last_offset = p->rec->len;
+	for (guint i = 0; i < call->records->len; i++) {
+		const struct log_record *r = call->records->pdata[i];
+
+		add(p, r->key, r->value, r->size);
+	}
+	return STORE_OK;
+}
+
+static void answer_page(struct part *p, struct call *call, uint64_t from, uint64_t end)
+{
+	g_autofree struct store_record *rec = g_new0(struct store_record, p->rec->len + 1);
+	struct store_page page = { .record = rec, .next = end };
+
+	for (uint64_t i = from; i < end; i++) {
+		const struct rec *r = &g_array_index(p->rec, struct rec, i);
+
+		rec[page.n++] = (struct store_record){
+			.offset = i, .key = r->key, .value = r->value, .size = r->size
+		};
+	}
+	call->page(call->ctx, STORE_OK, &page);
+}
+
+static bool waits(struct fake_client *c, const struct part *p, const struct call *call)
+{
+	if (c->mode != FAKE_WELL)
+		return false;
+	return call->kind == CALL_READ && call->from >= p->rec->len &&
+	       fake_now_ms - call->asked_ms < call->wait_ms;
+}
+
+static void serve(struct fake_client *c, struct call *call)
+{
+	struct part *p = part_of(c->log, call->where);
+	enum store_result result = c->mode == FAKE_REFUSES ? STORE_REFUSED : STORE_UNKNOWN;
+	uint64_t offset = 0;
+
+	if (call->kind == CALL_APPEND) {
+		if (c->mode == FAKE_WELL)
+			result = do_append(p, call, &offset);
+		else if (c->mode == FAKE_LOSES_ANSWER)
+			do_append(p, call, &offset);
+		call->appended(call->ctx, result, offset);
+	} else if (call->made) {
+		answer_page(p, call, call->from, call->made_end);
+	} else if (c->mode == FAKE_WELL || c->mode == FAKE_LOSES_ANSWER) {
+		answer_page(p, call, call->kind == CALL_READ ? call->from : 0, p->rec->len);
+	} else {
+		call->page(call->ctx, result, NULL);
+	}
+}
+
+void fake_hold(struct fake_client *c, const char *topic, uint32_t part)
+{
+	g_free(c->held);
+	c->held = where_of(topic, part);
+}
+
+void fake_let_go(struct fake_client *c)
+{
+	g_clear_pointer(&c->held, g_free);
+}
+
+/* A held read is answered as it stood when it was served. */
+static bool hold_back(struct fake_client *c, const struct part *p, struct call *call)
+{
+	if (!c->held || call->kind != CALL_READ || !g_str_equal(call->where, c->held))
+		return false;
+	if (!call->made) {
+		call->made = true;
+		call->made_end = p->rec->len;
+	}
+	return true;
+}
+
+static bool serve_client(struct fake_client *c)
+{
+	for (guint i = 0; i < c->call->len; i++) {
+		struct call *call = c->call->pdata[i];
+		struct part *p = part_of(c->log, call->where);
+
+		if (waits(c, p, call) || hold_back(c, p, call))
+			continue;
+		g_ptr_array_steal_index(c->call, i);
+		serve(c, call);
+		call_free(call);
+		return true;
+	}
+	return false;
+}
+
+#define ROUNDS_MAX 1000 /* a client that asks again at once would go on for ever */
+
+void fake_serve(struct fake_log *l)
+{
+	bool more = true;
+
+	for (int round = 0; more && round < ROUNDS_MAX; round++) {
+		more = false;
+		for (guint i = 0; i < l->client->len; i++)
+			more = serve_client(l->client->pdata[i]) || more;
+	}
+}
--- /dev/null
+++ b/tests/node/fakestore.h
@@ -0,0 +1,42 @@
+#ifndef TESTS_NODE_FAKESTORE_H
+#define TESTS_NODE_FAKESTORE_H
+
+#include "ports.h"
+
+/*
+ * fakestore - a log service in memory. Calls wait until fake_serve(); each client of it has a mode
+ * of its own, so that it can be away for one of them. Time is fake_now_ms.
+ */
+enum fake_mode {
+	FAKE_WELL = 0,
+	FAKE_REFUSES,	   /* surely nothing is done */
+	FAKE_SILENT,	   /* nothing is done and nobody knows */
+	FAKE_LOSES_ANSWER, /* it is done and nobody knows */
+};
+
+struct fake_log;
+struct fake_client;
+
+extern int64_t fake_now_ms;
+
+struct fake_log *fake_log_create(void);
+void fake_log_destroy(struct fake_log *l);
+/* fake_client_create - a view of the log; owned by the log. */
+struct fake_client *fake_client_create(struct fake_log *l);
+struct store fake_store(struct fake_client *c);
+void fake_mode(struct fake_client *c, enum fake_mode mode);
+/* fake_forget - the client is gone: its calls are not answered any more. */
+void fake_forget(struct fake_client *c);
+/* fake_serve - answers the calls that wait; those that wait for a record only once it is there. */
+void fake_serve(struct fake_log *l);
+/* fake_hold - keeps the answers of reads of one partition back until fake_let_go(). */
+void fake_hold(struct fake_client *c, const char *topic, uint32_t part);
+void fake_let_go(struct fake_client *c);
+/* fake_put - a record of somebody else. */
+void fake_put(struct fake_log *l, const char *topic, uint32_t part, const char *key,
+	      const uint8_t *value, size_t size);
+uint32_t fake_count(struct fake_log *l, const char *topic, uint32_t part);
+/* fake_appends - calls of this client that appended, or tried to. */
+uint32_t fake_appends(const struct fake_client *c);
+
+#endif
--- /dev/null
+++ b/tests/node/test_election.c
@@ -0,0 +1,224 @@
+#include <criterion/criterion.h>
+
+#include "fakestore.h"
+#include "process/election.h"
+
+#define TICK_MS 100
+
+struct voter {
+	struct fake_client *client;
+	struct election *election;
+	uint64_t term; /* 0 if it is not the scheduler */
+	char holder[32];
+	uint32_t won;
+	uint32_t lost;
+};
+
+static void on_won(void *ctx, uint64_t term)
+{
+	struct voter *v = ctx;
+
+	v->term = term;
+	v->won++;
+}
+
+static void on_lost(void *ctx, const char *why)
+{
+	struct voter *v = ctx;
+
+	v->term = 0;
+	v->lost++;
+}
+
+static void on_holder(void *ctx, const char *address, uint64_t term)
+{
+	g_strlcpy(((struct voter *)ctx)->holder, address, 32);
+}
+
+static const struct election_ops ops = { .won = on_won, .lost = on_lost, .holder = on_holder };
+
+static void voter_begin(struct voter *v, struct fake_log *l, const char *name)
+{
+	struct store store;
+
+	v->client = fake_client_create(l);
+	store = fake_store(v->client);
+	v->election = election_create(&store, name, name, &ops, v);
+}
+
+static void pass(struct fake_log *l, struct voter *v, int n, int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += TICK_MS) {
+		fake_now_ms += TICK_MS;
+		for (int i = 0; i < n; i++)
+			if (v[i].election)
+				election_tick(v[i].election);
+		fake_serve(l);
+	}
+}
+
+static int leaders(const struct voter *v, int n)
+{
+	int count = 0;
+
+	for (int i = 0; i < n; i++)
+		count += v[i].term > 0;
+	return count;
+}
+
+static void end(struct fake_log *l, struct voter *v, int n)
+{
+	for (int i = 0; i < n; i++)
+		election_destroy(v[i].election);
+	fake_log_destroy(l);
+}
+
+Test(election, one_of_three_wins_and_keeps_it)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[3] = { 0 };
+	int first;
+
+	for (int i = 0; i < 3; i++)
+		voter_begin(&v[i], l, (const char *[]){ "a", "b", "c" }[i]);
+	pass(l, v, 3, 500);
+	cr_assert_eq(leaders(v, 3), 1);
+	first = v[0].term ? 0 : v[1].term ? 1 : 2;
+	pass(l, v, 3, 60000);
+	cr_assert_eq(leaders(v, 3), 1);
+	cr_assert_gt(v[first].term, 0);
+	cr_assert_eq(v[0].won + v[1].won + v[2].won, 1);
+	end(l, v, 3);
+}
+
+Test(election, a_dead_holder_is_replaced_with_a_higher_term)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+	uint64_t term;
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	term = v[0].term;
+	cr_assert_gt(term, 0);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+	g_clear_pointer(&v[0].election, election_destroy);
+	fake_forget(v[0].client);
+	pass(l, v, 2, ELECTION_LEASE_MS - ELECTION_RENEW_MS - 2 * TICK_MS);
+	cr_assert_eq(v[1].term, 0, "not before the lease is over");
+	pass(l, v, 2, 2000);
+	cr_assert_gt(v[1].term, term);
+	end(l, v, 2);
+}
+
+/* The store is away for all: the holder goes on, and nobody claims right after its return. */
+Test(election, nobody_claims_right_after_an_outage)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+	for (int i = 0; i < 2; i++)
+		fake_mode(v[i].client, FAKE_SILENT);
+	pass(l, v, 2, 5000);
+	cr_assert_gt(v[0].term, 0);
+	for (int i = 0; i < 2; i++)
+		fake_mode(v[i].client, FAKE_WELL);
+	pass(l, v, 2, 10000);
+	cr_assert_gt(v[0].term, 0);
+	cr_assert_eq(v[1].won, 0);
+	end(l, v, 2);
+}
+
+Test(election, a_holder_without_renewal_gives_up)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[1] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	fake_mode(v[0].client, FAKE_SILENT);
+	pass(l, v, 1, ELECTION_STOP_MS - 1000);
+	cr_assert_gt(v[0].term, 0);
+	pass(l, v, 1, 2000);
+	cr_assert_eq(v[0].term, 0);
+	end(l, v, 1);
+}
+
+/* Turned away by the store while it serves the others: it learns of its successor on its return. */
+Test(election, a_holder_that_is_turned_away_is_replaced)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+	fake_mode(v[0].client, FAKE_REFUSES);
+	pass(l, v, 2, 4000);
+	cr_assert_gt(v[1].term, 0);
+	cr_assert_gt(v[0].term, 0, "it can't know yet; its orders are fenced");
+	cr_assert_gt(v[1].term, v[0].term);
+	fake_mode(v[0].client, FAKE_WELL);
+	pass(l, v, 2, 2000);
+	cr_assert_eq(v[0].term, 0);
+	cr_assert_str_eq(v[0].holder, "b");
+	end(l, v, 2);
+}
+
+Test(election, a_claim_whose_answer_is_lost)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[1] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	fake_mode(v[0].client, FAKE_LOSES_ANSWER);
+	pass(l, v, 1, 300);
+	fake_mode(v[0].client, FAKE_WELL);
+	pass(l, v, 1, 2000);
+	cr_assert_gt(v[0].term, 0);
+	cr_assert_eq(v[0].won, 1);
+	end(l, v, 1);
+}
+
+Test(election, renewals_whose_answers_are_lost)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+	fake_mode(v[0].client, FAKE_LOSES_ANSWER);
+	pass(l, v, 2, 5000);
+	fake_mode(v[0].client, FAKE_WELL);
+	pass(l, v, 2, 5000);
+	cr_assert_eq(leaders(v, 2), 1);
+	cr_assert_eq(v[1].won, 0, "its renewals were in the log");
+	end(l, v, 2);
+}
+
+Test(election, a_release_is_taken_up_at_once)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+	election_release(v[0].election);
+	pass(l, v, 2, 500);
+	cr_assert(election_released(v[0].election));
+	cr_assert_eq(v[0].term, 0);
+	cr_assert_gt(v[1].term, 0);
+	pass(l, v, 2, 10000);
+	cr_assert_eq(v[0].won, 1, "it does not claim again");
+	end(l, v, 2);
+}
