--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -51,14 +51,16 @@
 	void *ctx;
 	/* An answer that was made up and is held back. */
 	bool made;
+	bool held;
 	uint64_t made_end;
+	enum store_result made_result;
 };
 
 struct fake_client {
 	struct fake_log *log;
 	enum fake_mode mode;
 	GPtrArray *call;
-	char *held;
+	GHashTable *held; /* partitions whose reads are held back */
 	uint32_t appends;
 };
 
@@ -93,7 +95,7 @@
 	struct fake_client *c = data;
 
 	g_ptr_array_unref(c->call);
-	g_free(c->held);
+	g_hash_table_unref(c->held);
 	g_free(c);
 }
 
@@ -118,6 +120,7 @@
 	struct fake_client *c = g_new0(struct fake_client, 1);
 
 	c->log = l;
+	c->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->call = g_ptr_array_new_with_free_func(call_free);
 	g_ptr_array_add(l->client, c);
 	return c;
@@ -314,7 +317,9 @@
 	enum store_result result = c->mode == FAKE_REFUSES ? STORE_REFUSED : STORE_UNKNOWN;
 	uint64_t offset = 0;
 
-	if (call->kind == CALL_APPEND) {
+	if (call->kind == CALL_APPEND && call->made) {
+		call->appended(call->ctx, call->made_result, call->made_end);
+	} else if (call->kind == CALL_APPEND) {
 		if (c->mode == FAKE_WELL)
 			result = do_append(p, call, &offset);
 		else if (c->mode == FAKE_LOSES_ANSWER)
@@ -331,19 +336,41 @@
 
 void fake_hold(struct fake_client *c, const char *topic, uint32_t part)
 {
-	g_free(c->held);
-	c->held = where_of(topic, part);
+	g_hash_table_add(c->held, where_of(topic, part));
 }
 
-void fake_let_go(struct fake_client *c)
+void fake_let_go(struct fake_client *c, const char *topic, uint32_t part)
 {
-	g_clear_pointer(&c->held, g_free);
+	g_autofree char *where = where_of(topic, part);
+
+	g_hash_table_remove(c->held, where);
+}
+
+void fake_hold_appends(struct fake_client *c)
+{
+	for (guint i = 0; i < c->call->len; i++) {
+		struct call *call = c->call->pdata[i];
+
+		if (call->kind != CALL_APPEND || call->held)
+			continue;
+		call->held = true;
+		call->made = true;
+		call->made_result = do_append(part_of(c->log, call->where), call, &call->made_end);
+	}
+}
+
+void fake_answer_appends(struct fake_client *c)
+{
+	for (guint i = 0; i < c->call->len; i++)
+		((struct call *)c->call->pdata[i])->held = false;
 }
 
 /* A held read is answered as it stood when it was served. */
 static bool hold_back(struct fake_client *c, const struct part *p, struct call *call)
 {
-	if (!c->held || call->kind != CALL_READ || !g_str_equal(call->where, c->held))
+	if (call->kind != CALL_READ)
+		return call->held;
+	if (!g_hash_table_contains(c->held, call->where))
 		return false;
 	if (!call->made) {
 		call->made = true;
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -29,9 +29,14 @@
 void fake_forget(struct fake_client *c);
 /* fake_serve - answers the calls that wait; those that wait for a record only once it is there. */
 void fake_serve(struct fake_log *l);
-/* fake_hold - keeps the answers of reads of one partition back until fake_let_go(). */
+/* fake_hold - keeps the answers of reads of a partition back, as they are now, until fake_let_go().
+ */
 void fake_hold(struct fake_client *c, const char *topic, uint32_t part);
-void fake_let_go(struct fake_client *c);
+void fake_let_go(struct fake_client *c, const char *topic, uint32_t part);
+/* fake_hold_appends - does the appends that wait, and keeps their answers until
+ * fake_answer_appends(). */
+void fake_hold_appends(struct fake_client *c);
+void fake_answer_appends(struct fake_client *c);
 /* fake_put - a record of somebody else. */
 void fake_put(struct fake_log *l, const char *topic, uint32_t part, const char *key,
 	      const uint8_t *value, size_t size);
--- /dev/null
+++ b/tests/platform/test_entries.c
@@ -0,0 +1,197 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "entries.h"
+
+#define ID "00000000000000a1"
+
+struct runner_case {
+	const char *what;
+	const char *text;
+	bool usable;
+	bool draining;
+};
+
+/* Entries may come from another writer: those that can't be read whole name no runner. */
+Test(entries, runners)
+{
+	static const struct runner_case cases[] = {
+		{ "whole",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":"
+		  "\"ready\","
+		  "\"capacity\":{\"cpu\":16000,\"mem-mb\":32,\"gpu\":2},\"labels\":[\"a\",\"r1\"],"
+		  "\"born\":7,\"seq\":4}",
+		  true, false },
+		{ "draining, without labels",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":"
+		  "\"draining\","
+		  "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}",
+		  true, true },
+		{ "unknown state",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"odd\","
+		  "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}",
+		  false },
+		{ "no capacity",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":"
+		  "\"ready\"}",
+		  false },
+		{ "capacity of another type",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":"
+		  "\"ready\","
+		  "\"capacity\":{\"cpu\":\"many\",\"mem-mb\":1}}",
+		  false },
+		{ "address without a port",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\",\"state\":\"ready\","
+		  "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}",
+		  false },
+		{ "service is a number",
+		  "{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
+		  "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}",
+		  false },
+		{ "a list", "[]", false },
+		{ "cut", "{\"service\":\"s\"", false },
+		{ "bytes", "\xff\xfe\x00", false },
+		{ "empty", "", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct runner_info info;
+		JsonNode *root = NULL;
+		bool ok = entries_runner("r", cases[i].text, strlen(cases[i].text), &info, &root);
+
+		cr_expect_eq(ok, cases[i].usable, "%s", cases[i].what);
+		if (ok)
+			cr_expect_eq(info.draining, cases[i].draining, "%s", cases[i].what);
+		if (root)
+			json_node_unref(root);
+	}
+}
+
+Test(entries, fields_of_a_runner)
+{
+	const char *text =
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem-mb\":2,\"gpu\":3},"
+		"\"labels\":[\"kind\",\"rack\"],\"born\":1765000000123,\"time-ms\":55}";
+	struct runner_info info;
+	JsonNode *root;
+
+	cr_assert(entries_runner("r", text, strlen(text), &info, &root));
+	cr_assert_eq(info.room.cpu_milli, 16000);
+	cr_assert_eq(info.room.mem_bytes, 2 * 1048576);
+	cr_assert_eq(info.room.accel, 3);
+	cr_assert_str_eq(info.rack, "rack");
+	cr_assert_str_eq(info.label[0], "kind");
+	cr_assert_eq(info.born_ms, 1765000000123);
+	cr_assert_eq(info.clock_ms, 55);
+	json_node_unref(root);
+}
+
+struct config_case {
+	const char *what;
+	const char *text;
+	bool usable;
+};
+
+Test(entries, configurations)
+{
+	static const struct config_case cases[] = {
+		{ "whole",
+		  "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/p/\","
+		  "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}",
+		  true },
+		{ "no routes at all", "{\"version\":7,\"routes\":[]}", true },
+		{ "no version", "{\"routes\":[]}", false },
+		{ "routes are no list", "{\"version\":7,\"routes\":{}}", false },
+		{ "a route without service",
+		  "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/p/\"}]}",
+		  false },
+		{ "a route is a number", "{\"version\":7,\"routes\":[5]}", false },
+		{ "not JSON", "version: 7", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *why = NULL;
+		struct queues *q = entries_queues(cases[i].text, strlen(cases[i].text), &why);
+
+		cr_expect_eq(q != NULL, cases[i].usable, "%s", cases[i].what);
+		cr_expect_eq(why == NULL, cases[i].usable, "%s", cases[i].what);
+		queues_destroy(q);
+	}
+}
+
+Test(entries, routes_by_host_and_longest_prefix)
+{
+	const char *text =
+		"{\"version\":7,\"routes\":["
+		"{\"name\":\"a\",\"host\":\"h.example\",\"prefix\":\"/p/\",\"service\":\"s\"},"
+		"{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/p/q/\",\"service\":\"s\","
+		"\"advisor\":{\"decide-ms\":17.5,\"interval-ms\":0.24},\"stretch\":1.5}]}";
+	const char *why;
+	const char *rest;
+	struct queues *q = entries_queues(text, strlen(text), &why);
+
+	cr_assert_not_null(q);
+	cr_assert_str_eq(queues_route(q, "h.example", "/p/x", &rest)->name, "a");
+	cr_assert_str_eq(rest, "x");
+	cr_assert_str_eq(queues_route(q, "H.Example:80", "/p/q/x", &rest)->name, "b");
+	cr_assert_null(queues_route(q, "other", "/p/x", &rest));
+	cr_assert_null(queues_route(q, "h.example", "/x", &rest));
+	cr_assert_eq(queues_find(q, "b")->decide_us, 17500);
+	cr_assert_eq(queues_find(q, "b")->interval_us, 240);
+	cr_assert_eq(queues_find(q, "b")->stretch_milli, 1500);
+	cr_assert(queues_find(q, "b")->advised);
+	cr_assert_not(queues_find(q, "a")->advised);
+	queues_destroy(q);
+}
+
+struct job_case {
+	const char *what;
+	const char *text;
+	bool valid;
+};
+
+Test(entries, jobs)
+{
+	static const struct job_case cases[] = {
+		{ "plain", "{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem-mb\":256}]}",
+		  true },
+		{ "fields that are not known", "{\"new\":1,\"steps\":[{\"count\":1,\"odd\":[]}]}",
+		  true },
+		{ "no steps", "{\"spec\":\"x\"}", false },
+		{ "steps are a number", "{\"steps\":5}", false },
+		{ "a step is a text", "{\"steps\":[\"x\"]}", false },
+		{ "no task", "{\"steps\":[{\"count\":0}]}", false },
+		{ "after a later step", "{\"steps\":[{\"count\":1,\"after\":[3]}]}", false },
+		{ "after a text", "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[\"x\"]}]}",
+		  false },
+		{ "too many tasks", "{\"steps\":[{\"count\":1000000}]}", false },
+		{ "no JSON", "steps", false },
+		{ "empty", "", false },
+	};
+	const struct queue queue = { .name = "q", .service = "s" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *why = NULL;
+		Cell__Job *job =
+			entries_job(ID, &queue, cases[i].text, strlen(cases[i].text), 1, &why);
+
+		cr_expect_eq(job != NULL, cases[i].valid, "%s", cases[i].what);
+		cr_expect_eq(why == NULL, cases[i].valid, "%s", cases[i].what);
+		if (job)
+			cell__job__free_unpacked(job, NULL);
+	}
+}
+
+Test(entries, payload_has_a_bound)
+{
+	const struct queue queue = { .name = "q", .service = "s" };
+	g_autofree char *long_text = g_strnfill(4001, 'x');
+	g_autofree char *text =
+		g_strdup_printf("{\"spec\":\"%s\",\"steps\":[{\"count\":1}]}", long_text);
+	const char *why = NULL;
+
+	cr_assert_null(entries_job(ID, &queue, text, strlen(text), 1, &why));
+	cr_assert_not_null(why);
+}
--- /dev/null
+++ b/tests/platform/test_vmsettings.c
@@ -0,0 +1,86 @@
+#include <stdio.h>
+#include <unistd.h>
+
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "vmsettings.h"
+
+#define WHOLE                                                                                      \
+	"node=front-a-1\nip=10.1.0.30\nzone=a\nlisten.front=10.1.0.30:8149\n"                      \
+	"listen.ready=10.1.0.30:8141\nport-range=7380,7395\nplatform.address=10.2.0.7:8142\n"      \
+	"new.field=anything\n"
+
+static bool read_text(const char *text, struct vm_settings **out, struct status *st)
+{
+	g_autofree char *path = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+	bool ok;
+
+	cr_assert_geq(fd, 0);
+	cr_assert(g_file_set_contents(path, text, -1, NULL));
+	ok = vm_settings_read(path, out, st);
+	close(fd);
+	unlink(path);
+	return ok;
+}
+
+Test(vmsettings, whole)
+{
+	struct vm_settings *s = NULL;
+	struct status st = STATUS_INIT;
+
+	cr_assert(read_text(WHOLE "bounds.hold-max-ms=6000\nbounds.grace-s=2.5\n", &s, &st), "%s",
+		  st.message);
+	cr_assert_str_eq(s->name, "front-a-1");
+	cr_assert_eq(s->front_port, 8149);
+	cr_assert_eq(s->ready_port, 8141);
+	cr_assert_eq(s->link_port, 7380);
+	cr_assert_eq(s->metrics_port, 7381);
+	cr_assert_eq(s->hold_max_ms, 6000);
+	cr_assert_eq(s->grace_ms, 2500);
+	cr_assert_eq(s->stop_ms, 900, "the platform's example where nothing is said");
+	vm_settings_destroy(s);
+}
+
+struct bad_case {
+	const char *line;
+	const char *named; /* in the message */
+};
+
+Test(vmsettings, a_bad_value_is_named)
+{
+	static const struct bad_case cases[] = {
+		{ "node=", "node" },
+		{ "listen.front=10.1.0.30", "listen.front" },
+		{ "listen.ready=10.1.0.30:many", "listen.ready" },
+		{ "listen.ready=10.1.0.30:70000", "listen.ready" },
+		{ "port-range=7380", "port-range" },
+		{ "port-range=7380,7380", "port-range" },
+		{ "bounds.hold-max-ms=soon", "bounds.hold-max-ms" },
+		{ "bounds.stop-ms=-5", "bounds.stop-ms" },
+		{ "platform.address=", "platform.address" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(WHOLE "%s\n", cases[i].line);
+		struct vm_settings *s = NULL;
+		struct status st = STATUS_INIT;
+
+		cr_expect_not(read_text(text, &s, &st), "%s", cases[i].line);
+		cr_expect_not_null(strstr(st.message, cases[i].named), "%s: %s", cases[i].line,
+				   st.message);
+		cr_expect_null(s);
+	}
+}
+
+Test(vmsettings, no_file)
+{
+	struct vm_settings *s = NULL;
+	struct status st = STATUS_INIT;
+
+	cr_assert_not(vm_settings_read("/nonexistent/settings", &s, &st));
+	cr_assert_str_neq(st.message, "");
+}
