What a list proves, and clocks of an older life

Reading the code for ways to free room too early: a run that is being stopped may be in neither list of its runner; an answer of an older life of a runner was taken for one of the new, also its clock, which makes leases longer than the scheduler believes. Change: a missing run counts as gone only when a stop would have ended; answers of older lives and the clock of start answers are not used.

--- a/packages/cell/process/exec.c
+++ b/packages/cell/process/exec.c
@@ -109,6 +109,7 @@
 
 void exec_reached(struct exec *e, int64_t lease_ms, int64_t now_ms)
 {
+	e->reached_ms = now_ms;
 	e->granted_until_ms = now_ms + on_slow_clock(lease_ms);
 }
 
--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -79,10 +79,11 @@
 	struct amount used;
 	struct amount hoped; /* set aside in the current pass */
 	bool draining;
-	bool gone;	 /* not listed by the platform any more */
-	bool contacted;	 /* has answered this scheduler */
-	bool looking;	 /* a look is under way */
-	int64_t look_ms; /* not to be looked at before */
+	bool gone;	    /* not listed by the platform any more */
+	bool contacted;	    /* has answered this scheduler */
+	int64_t reached_ms; /* when it did so first */
+	bool looking;	    /* a look is under way */
+	int64_t look_ms;    /* not to be looked at before */
 	int64_t look_sent_ms;
 	int64_t clock_ms;
 	int64_t clock_local_ms;	  /* when clock_ms was read */
--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -120,16 +120,24 @@
 	plan_checkpoint(r->plan, r->task, row->checkpoint);
 }
 
+/* One that is being stopped may be in neither list until it has ended. */
+int64_t looks_proof_ms(const struct scheduler *s, const struct run *r)
+{
+	int64_t stopped_ms = s->conf.stop_ms + EXEC_SLACK_MS;
+
+	if (r->inherited)
+		return r->exec->contacted ? r->exec->reached_ms + stopped_ms : INT64_MAX;
+	return r->stop_answered_ms ? r->stop_answered_ms + stopped_ms : INT64_MAX;
+}
+
 /* Whether the list, asked for at sent_ms, proves that the run does not exist. */
-static bool surely_gone(const struct run *r, int64_t sent_ms)
+static bool surely_gone(const struct scheduler *s, const struct run *r, int64_t sent_ms)
 {
 	if (r->listed)
 		return false;
-	if (r->inherited)
-		return true;
-	if (r->stop_answered_ms && r->stop_answered_ms <= sent_ms)
+	if (looks_proof_ms(s, r) <= sent_ms)
 		return true;
-	return r->state == RUN_ON && r->on_ms < sent_ms;
+	return r->state == RUN_ON && !r->stop_answered_ms && r->on_ms < sent_ms;
 }
 
 static void drop_missing(struct scheduler *s, struct exec *e, int64_t sent_ms)
@@ -137,9 +145,9 @@
 	for (guint i = e->run->len; i > 0; i--) {
 		struct run *r = e->run->pdata[i - 1];
 
-		if (surely_gone(r, sent_ms))
+		if (surely_gone(s, r, sent_ms))
 			scheduler_lose_run(s, r);
-		else
+		else if (r->listed)
 			r->inherited = false;
 	}
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -422,7 +422,7 @@
 }
 
 void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
-		       enum start_result result, int64_t clock_ms, int64_t now_ms)
+		       enum start_result result, int64_t now_ms)
 {
 	struct run *r = scheduler_find_run(s, runner, task, run);
 
@@ -433,8 +433,6 @@
 	}
 	if (!r || r->state != RUN_SENT)
 		return;
-	if (clock_ms)
-		exec_answered(r->exec, clock_ms, now_ms);
 	if (result == START_OK) {
 		r->state = RUN_ON;
 		r->on_ms = now_ms;
@@ -510,7 +508,7 @@
 		new_life(s, e, &info);
 		return;
 	}
-	if (!look || look->other) {
+	if (!look || look->other || look->born_ms < e->born_ms) {
 		e->misses++;
 		e->look_ms = now_ms + MIN((int64_t)LOOK_RETRY_MS * e->misses, LOOK_RETRY_MAX_MS);
 		return;
@@ -598,6 +596,16 @@
 	}
 }
 
+/* How long a look may wait for an end: no longer than until the next one could prove something. */
+static uint32_t look_wait(const struct scheduler *s, const struct exec *e)
+{
+	int64_t until_ms = s->now_ms + LOOK_WAIT_MS;
+
+	for (guint i = 0; i < e->run->len; i++)
+		until_ms = MIN(until_ms, looks_proof_ms(s, e->run->pdata[i]));
+	return (uint32_t)MAX(until_ms - s->now_ms, 0);
+}
+
 static void send_look(struct scheduler *s, struct exec *e)
 {
 	struct look_order order = { .route = route_to(e, 0),
@@ -609,7 +617,7 @@
 		e->seen = e->seen_next;
 	order.seen = e->seen;
 	if (e->contacted && e->misses == 0 && !unwritten)
-		order.wait_ms = e->run->len ? LOOK_WAIT_MS : 0;
+		order.wait_ms = e->run->len ? look_wait(s, e) : 0;
 	/* One that does not answer may get every look: its lease has to be let run out. */
 	if (e->run->len && e->misses == 0)
 		order.deadline_ms = exec_grant(e, s->conf.lease_ms, s->now_ms);
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -146,7 +146,7 @@
 
 /* Answers to what was ordered. */
 void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
-		       enum start_result result, int64_t clock_ms, int64_t now_ms);
+		       enum start_result result, int64_t now_ms);
 /* scheduler_stopped - answered is true if the runner has taken the order. */
 void scheduler_stopped(struct scheduler *s, const char *runner, const char *task, uint32_t run,
 		       bool answered, int64_t now_ms);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -18,16 +18,16 @@
 	const struct scheduler_ops *ops;
 	void *ctx;
 	const struct queues *queues;
-	GHashTable *exec; /* by id */
-	GPtrArray *open;  /* of struct plan, those that go on or have runs */
-	GPtrArray *dirty; /* of struct plan */
+	GHashTable *exec;   /* by id */
+	GPtrArray *open;    /* of struct plan, those that go on or have runs */
+	GPtrArray *dirty;   /* of struct plan */
 	GPtrArray *planned; /* of struct run, whose intents are not in the log */
 	uint32_t next_handle;
 	uint64_t batch_next; /* the batch that is written next */
 	uint64_t batch_acked;
 	bool writing;
-	bool unsorted; /* open */
-	uint32_t helpers; /* processes that ask the advisor */
+	bool unsorted;	    /* open */
+	uint32_t helpers;   /* processes that ask the advisor */
 	uint64_t asking_us; /* time of the advisor that calls under way take */
 	bool fenced;
 	int64_t now_ms;
@@ -59,6 +59,11 @@
 bool scheduler_usable(const struct scheduler *s, const struct exec *e);
 struct amount scheduler_need(const Cell__Step *spec);
 
+/*
+ * looks_proof_ms - a look sent from then on that does not list the run proves that it does not
+ * exist; INT64_MAX if that can't be said.
+ */
+int64_t looks_proof_ms(const struct scheduler *s, const struct run *r);
 /* looks_read - takes what the runner lists. sent_ms: when it was asked. */
 void looks_read(struct scheduler *s, struct exec *e, const struct look *look, int64_t sent_ms);
 
--- a/packages/node/ports.h
+++ b/packages/node/ports.h
@@ -10,9 +10,9 @@
 
 enum store_result {
 	STORE_OK = 0,
-	STORE_REFUSED, /* surely nothing was done */
+	STORE_REFUSED,	      /* surely nothing was done */
 	STORE_ENDS_ELSEWHERE, /* the condition on the end of the log did not hold */
-	STORE_FENCED,  /* a newer epoch has written */
+	STORE_FENCED,	      /* a newer epoch has written */
 	STORE_OUT_OF_SEQUENCE,
 	STORE_TRIMMED, /* what was to be read is not kept any more */
 	STORE_UNKNOWN, /* no answer: it may be done, now or later */
@@ -20,9 +20,9 @@
 
 /* Conditions of an append. */
 struct append_terms {
-	bool at_end;		/* only if the log ends at `end` */
+	bool at_end; /* only if the log ends at `end` */
 	uint64_t end;
-	const char *producer;	/* NULL for none */
+	const char *producer; /* NULL for none */
 	uint64_t epoch;
 	uint64_t seq;
 };
@@ -65,12 +65,7 @@
 	void *impl;
 };
 
-struct started {
-	enum start_result result;
-	int64_t clock_ms; /* of the runner, 0 if it did not tell */
-};
-
-typedef void (*started_fn)(void *ctx, const struct started *answer);
+typedef void (*started_fn)(void *ctx, enum start_result result);
 typedef void (*stopped_fn)(void *ctx, bool answered);
 /* look is NULL if there was no answer. */
 typedef void (*looked_fn)(void *ctx, const struct look *look);
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -105,7 +105,7 @@
 
 	e->reading = false;
 	if (result == STORE_TRIMMED) {
-		e->next = MAX(page->first, e->next + 1);
+		e->next = MAX(page->first, e->next);
 		return;
 	}
 	if (result != STORE_OK) {
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -146,17 +146,16 @@
 	return o->node->term == o->term ? o->node->scheduler : NULL;
 }
 
-static void on_started(void *ctx, const struct started *answer)
+static void on_started(void *ctx, enum start_result result)
 {
 	struct order *o = ctx;
 	struct scheduler *s = order_scheduler(o);
 
-	if (answer->result != START_OK)
+	if (result != START_OK)
 		log_request(LOG_INFO, o->task, "start", o->runner, "run %u: not started (%d)",
-			    o->run, answer->result);
+			    o->run, result);
 	if (s) {
-		scheduler_started(s, o->runner, o->task, o->run, answer->result, answer->clock_ms,
-				  node_now_ms());
+		scheduler_started(s, o->runner, o->task, o->run, result, node_now_ms());
 		poke(o->node);
 	}
 	order_free(o);
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -131,10 +131,8 @@
 
 static void answer_nothing(struct given *g)
 {
-	const struct started unknown = { .result = START_UNKNOWN };
-
 	if (g->kind == ORDER_START)
-		g->fn.started(g->ctx, &unknown);
+		g->fn.started(g->ctx, START_UNKNOWN);
 	else if (g->kind == ORDER_STOP)
 		g->fn.stopped(g->ctx, false);
 	else
@@ -142,7 +140,8 @@
 	g_free(g);
 }
 
-/* Answers given without a word to those that the test is true for; callbacks may give new orders. */
+/* Answers given without a word to those that the test is true for; callbacks may give new orders.
+ */
 static void answer_lost(struct relay *r, const struct peer *p, int64_t now)
 {
 	g_autoptr(GPtrArray) lost = g_ptr_array_new();
@@ -214,12 +213,9 @@
 	struct given *g = NULL;
 
 	if (e->body_case == KW__ENVELOPE__BODY_START_REPLY) {
-		struct started answer = { .result = (enum start_result)e->start_reply->result,
-					  .clock_ms = e->start_reply->clock_ms };
-
 		g = take_given(r, e->start_reply->call, ORDER_START);
 		if (g)
-			g->fn.started(g->ctx, &answer);
+			g->fn.started(g->ctx, (enum start_result)e->start_reply->result);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STOP_REPLY) {
 		g = take_given(r, e->stop_reply->call, ORDER_STOP);
 		if (g)
@@ -241,15 +237,14 @@
 	return t;
 }
 
-static void on_started(void *ctx, const struct started *answer)
+static void on_started(void *ctx, enum start_result result)
 {
 	struct taken *t = ctx;
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__StartReply m = CELL__START_REPLY__INIT;
 
 	m.call = t->call;
-	m.result = answer->result;
-	m.clock_ms = answer->clock_ms;
+	m.result = result;
 	e.body_case = KW__ENVELOPE__BODY_START_REPLY;
 	e.start_reply = &m;
 	links_reply(t->relay->links, &e);
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -2111,7 +2111,7 @@
   (ProtobufCMessageInit) cell__start_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__start_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cell__start_reply__field_descriptors[2] =
 {
   {
     "call",
@@ -2137,28 +2137,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "clock_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Cell__StartReply, clock_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned cell__start_reply__field_indices_by_name[] = {
   0,   /* field[0] = call */
-  2,   /* field[2] = clock_ms */
   1,   /* field[1] = result */
 };
 static const ProtobufCIntRange cell__start_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cell__start_reply__descriptor =
 {
@@ -2168,7 +2155,7 @@
   "Cell__StartReply",
   "cell",
   sizeof(Cell__StartReply),
-  3,
+  2,
   cell__start_reply__field_descriptors,
   cell__start_reply__field_indices_by_name,
   1,  cell__start_reply__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -256,11 +256,10 @@
   ProtobufCMessage base;
   uint64_t call;
   uint32_t result;
-  int64_t clock_ms;
 };
 #define CELL__START_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__start_reply__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0 }
 
 
 struct  Cell__StopOrder
--- a/tests/cell/bed.c
+++ b/tests/cell/bed.c
@@ -342,8 +342,7 @@
 			continue;
 		runner = g_strdup(s.runner);
 		g_array_remove_index(b->start, i);
-		scheduler_started(b->sched, runner, task, s.run, result, b->now_ms - 500000,
-				  b->now_ms);
+		scheduler_started(b->sched, runner, task, s.run, result, b->now_ms);
 		return true;
 	}
 	return false;
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -290,6 +290,12 @@
 	restart(b);
 	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
 	bed_settle(b);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1, "the older one may just have stopped it");
+	bed_pass(b, 1000);
+	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
 	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2, "it is placed anew with a higher run");
 	bed_destroy(b);
 }
