A randomized test of takeovers in virtual time, and the two faults that it found

It broke room on seed 706 and with runners born again (seeds 501 to 506). Found: a run whose stop was sent but not answered was taken for gone when a list no longer held it; a start that came to the new life of a runner before the scheduler knew of that life was dropped from its memory while it ran. Change: a run whose stop was sent is gone only after the answer and the time that a stop takes; runs move to a runner's new life until a look tells, those without an answer are stopped there.

--- a/packages/cell/process/exec.c
+++ b/packages/cell/process/exec.c
@@ -147,3 +147,12 @@
 	amount_sub(&e->used, &r->need);
 	g_ptr_array_remove_fast(e->run, r);
 }
+
+void exec_steal(struct exec *e, struct run *r)
+{
+	guint i;
+
+	amount_sub(&e->used, &r->need);
+	if (g_ptr_array_find(e->run, r, &i))
+		g_ptr_array_steal_index_fast(e->run, i);
+}
--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -121,7 +121,10 @@
 struct amount exec_free(const struct exec *e);
 bool exec_has_label(const struct exec *e, const char *label);
 void exec_take(struct exec *e, struct run *r);
+/* exec_release - the run is over and freed. */
 void exec_release(struct exec *e, struct run *r);
+/* exec_steal - the run goes on elsewhere. */
+void exec_steal(struct exec *e, struct run *r);
 
 bool amount_fits(const struct amount *need, const struct amount *free);
 void amount_add(struct amount *to, const struct amount *what);
--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -137,7 +137,7 @@
 		return false;
 	if (looks_proof_ms(s, r) <= sent_ms)
 		return true;
-	return r->state == RUN_ON && !r->stop_answered_ms && r->on_ms < sent_ms;
+	return r->state == RUN_ON && !r->stop_sent_ms && r->on_ms < sent_ms;
 }
 
 static void drop_missing(struct scheduler *s, struct exec *e, int64_t sent_ms)
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -203,12 +203,39 @@
 	return e;
 }
 
+/*
+ * What ran in the old life is over. But an order may have come to the new one already, so each run
+ * moves there until a look tells; one without an answer is stopped, since it may yet come.
+ */
+static void move_run(struct scheduler *s, struct run *r, struct exec *to)
+{
+	exec_steal(r->exec, r);
+	exec_take(to, r);
+	if (r->state == RUN_ON && r->orders <= 1)
+		return;
+	r->state = RUN_DOUBT;
+	r->stopping = true;
+	r->stop_sent_ms = 0;
+	r->stop_answered_ms = 0;
+}
+
 /* info may point into the old life. */
 static void new_life(struct scheduler *s, struct exec *e, const struct runner_info *info)
 {
+	struct exec *fresh = exec_create(info, s->next_handle++);
+
 	g_info("runner %s was born again, %u runs are over", e->id, e->run->len);
-	lose_runs(s, e);
-	add_exec(s, info);
+	fresh->look_ms = s->now_ms;
+	fresh->granted_until_ms = s->now_ms + s->conf.inherited_ms;
+	while (e->run->len) {
+		struct run *r = e->run->pdata[e->run->len - 1];
+
+		if (r->state == RUN_PLANNED)
+			scheduler_lose_run(s, r);
+		else
+			move_run(s, r, fresh);
+	}
+	g_hash_table_replace(s->exec, fresh->id, fresh);
 }
 
 void scheduler_runner(struct scheduler *s, const struct runner_info *info, int64_t now_ms)
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -42,7 +42,8 @@
 	struct scheduler *sched;
 	int64_t now_ms;
 	int64_t wall_ms;
-	GArray *start; /* orders that were not answered yet, oldest first */
+	int64_t born_ms; /* life of the runners that answer looks */
+	GArray *start;	 /* orders that were not answered yet, oldest first */
 	GArray *stop;
 	GArray *look;
 	GArray *ask;
--- /dev/null
+++ b/tests/cell/test_sim.c
@@ -0,0 +1,87 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+
+#include "sim.h"
+
+/*
+ * What must always hold, under random faults: fixed seeds in CI; KW_SIM_SEEDS=N tries N others,
+ * counted from KW_SIM_FIRST.
+ */
+
+struct sim_case {
+	const char *what;
+	struct sim_conf conf;
+	uint32_t seeds;
+};
+
+static const struct sim_conf base = { .runners = 6,
+				      .jobs = 60,
+				      .job_every_ms = 400,
+				      .tasks = 5,
+				      .task_ms = 900,
+				      .task_cpu_milli = 5000 };
+
+static struct sim_conf with(uint32_t fail, uint32_t lost, uint32_t late, uint32_t replace,
+			    uint32_t silent, uint32_t reborn, uint32_t gang, uint32_t cancel,
+			    uint32_t advise)
+{
+	struct sim_conf c = base;
+
+	c.fail_milli = fail;
+	c.lost_milli = lost;
+	c.late_milli = late;
+	c.replace_every_ms = replace;
+	c.silent_every_ms = silent;
+	c.reborn_milli = reborn;
+	c.gang_milli = gang;
+	c.cancel_milli = cancel;
+	c.advise_ms = advise;
+	c.approved_milli = 500;
+	return c;
+}
+
+static void check(const char *what, const struct sim_conf *conf)
+{
+	struct sim_result r;
+
+	sim_run(conf, &r);
+	cr_expect_eq(r.over_room, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed, r.first);
+	cr_expect_eq(r.twice, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed, r.first);
+	cr_expect_eq(r.again, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed, r.first);
+	cr_expect_eq(r.unwanted, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed, r.first);
+	cr_expect_eq(r.open, 0, "%s, seed %lu: %u jobs did not end", what,
+		     (unsigned long)conf->seed, r.open);
+}
+
+static uint32_t number(const char *name, uint32_t preset)
+{
+	const char *v = getenv(name);
+
+	return v ? (uint32_t)strtoul(v, NULL, 10) : preset;
+}
+
+Test(sim, what_must_always_hold)
+{
+	const struct sim_case cases[] = {
+		{ "calm", with(0, 0, 0, 0, 0, 0, 0, 0, 0), 2 },
+		{ "failures and cancellations", with(50, 0, 0, 0, 0, 0, 200, 150, 0), 4 },
+		{ "lost answers", with(20, 100, 0, 0, 0, 0, 200, 50, 0), 6 },
+		{ "late orders", with(20, 30, 60, 0, 0, 0, 200, 50, 0), 6 },
+		{ "silent runners", with(20, 0, 0, 0, 1500, 0, 200, 50, 0), 6 },
+		{ "runners born again", with(20, 20, 20, 0, 1500, 600, 200, 50, 0), 6 },
+		{ "schedulers replaced", with(20, 0, 0, 4000, 0, 0, 200, 100, 0), 8 },
+		{ "all together", with(20, 50, 30, 3000, 2500, 300, 200, 100, 0), 12 },
+		{ "all together, with advice", with(20, 50, 30, 3000, 2500, 300, 200, 100, 60), 8 },
+	};
+	uint32_t first = number("KW_SIM_FIRST", 1);
+	uint32_t more = number("KW_SIM_SEEDS", 0);
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct sim_conf conf = cases[i].conf;
+
+		for (uint32_t k = 0; k < (more ? more : cases[i].seeds); k++) {
+			conf.seed = first + k + (more ? 0 : 100 * i);
+			check(cases[i].what, &conf);
+		}
+	}
+}
