Submissions by way of the scheduler; short time-outs of starts and looks

Change: a start is sent again after 200 ms, a look waits no longer than half of the time to the next end; jobs and cancellations go to the scheduler, which appends them together and needs not read them. Without its word in time the node appends by itself.

--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -5,11 +5,15 @@
 #include "scheduler_priv.h"
 
 #define LOOK_WAIT_MS	  1500 /* a look waits for an end that long; below the platform's 2 s */
+#define LOOK_WAIT_MIN_MS  300  /* near an end, so that a look without an answer is noticed soon */
+#define LOOK_ANSWER_MS	  400  /* beyond its wait: 24 ms there and back, and a slow VM */
+#define START_FIRST_MS	  200  /* a start is sent again after that: an answer takes 1 to 30 ms */
+#define START_AGAIN_MS	  600  /* the last time it is waited for longer */
 #define LOOK_IDLE_MS	  4000 /* between looks at a runner on which nothing runs */
-#define LOOK_RETRY_MS	  150  /* after a look without an answer; grows with each */
+#define LOOK_RETRY_MS	  150  /* after the second look without an answer; grows with each */
 #define LOOK_RETRY_MAX_MS 1000
 #define STOP_RETRY_MS	  700  /* a stop without an answer is sent again after that */
-#define ORDERS_MAX	  2    /* a start without an answer is sent that often, then stopped */
+#define ORDERS_MAX	  3    /* a start without an answer is sent that often, then stopped */
 #define RETRY_MS	  50   /* a task that was refused waits that long */
 #define ASK_RETRY_MS	  200  /* after the advisor did not answer */
 #define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
@@ -414,6 +418,7 @@
 		.checkpoint = t->checkpoint,
 		.run = r->no,
 		.deadline_ms = exec_grant(r->exec, s->conf.lease_ms, s->now_ms),
+		.timeout_ms = r->orders + 1 < ORDERS_MAX ? START_FIRST_MS : START_AGAIN_MS,
 	};
 
 	plan_task_name(r->plan, r->task, name);
@@ -537,7 +542,8 @@
 	}
 	if (!look || look->other || look->born_ms < e->born_ms) {
 		e->misses++;
-		e->look_ms = now_ms + MIN((int64_t)LOOK_RETRY_MS * e->misses, LOOK_RETRY_MAX_MS);
+		e->look_ms = now_ms +
+			     MIN((int64_t)LOOK_RETRY_MS * (e->misses - 1), LOOK_RETRY_MAX_MS);
 		return;
 	}
 	if (!e->born_ms)
@@ -623,13 +629,31 @@
 	}
 }
 
-/* How long a look may wait for an end: no longer than until the next one could prove something. */
+/* Half of the time until the run is likely to end. */
+static int64_t end_expected(const struct scheduler *s, const struct run *r)
+{
+	const Cell__Step *spec = plan_step_of(r->plan, r->task)->spec;
+	int64_t left_ms = r->on_ms + spec->estimate_ms - s->now_ms;
+
+	if (r->state != RUN_ON || spec->lasting)
+		return s->now_ms + LOOK_WAIT_MS;
+	return s->now_ms + MAX(left_ms / 2, LOOK_WAIT_MIN_MS);
+}
+
+/*
+ * How long a look may wait for an end. Near an end it is short, so that a look whose answer is lost
+ * delays what comes after by little; and no longer than until the next one could prove something.
+ */
 static uint32_t look_wait(const struct scheduler *s, const struct exec *e)
 {
 	int64_t until_ms = s->now_ms + LOOK_WAIT_MS;
 
-	for (guint i = 0; i < e->run->len; i++)
-		until_ms = MIN(until_ms, looks_proof_ms(s, e->run->pdata[i]));
+	for (guint i = 0; i < e->run->len; i++) {
+		const struct run *r = e->run->pdata[i];
+
+		until_ms = MIN(until_ms, end_expected(s, r));
+		until_ms = MIN(until_ms, looks_proof_ms(s, r));
+	}
 	return (uint32_t)MAX(until_ms - s->now_ms, 0);
 }
 
@@ -648,6 +672,7 @@
 	/* One that does not answer may get every look: its lease has to be let run out. */
 	if (e->run->len && e->misses == 0)
 		order.deadline_ms = exec_grant(e, s->conf.lease_ms, s->now_ms);
+	order.timeout_ms = order.wait_ms + LOOK_ANSWER_MS;
 	e->looking = true;
 	e->look_sent_ms = s->now_ms;
 	s->ops->look(s->ctx, &order);
@@ -747,3 +772,40 @@
 		sums->silent_runners += e->misses > 0 || !e->contacted;
 	}
 }
+
+static void add_to_pool(GArray *pools, const struct exec *e)
+{
+	struct scheduler_pool fresh = { .service = e->service };
+	struct scheduler_pool *p = NULL;
+
+	for (guint i = 0; i < pools->len && !p; i++) {
+		p = &g_array_index(pools, struct scheduler_pool, i);
+		if (!g_str_equal(p->service, e->service))
+			p = NULL;
+	}
+	if (!p) {
+		g_array_append_val(pools, fresh);
+		p = &g_array_index(pools, struct scheduler_pool, pools->len - 1);
+	}
+	p->runners++;
+	amount_add(&p->room, &e->room);
+	amount_add(&p->used, &e->used);
+}
+
+void scheduler_each_pool(const struct scheduler *s,
+			 void (*fn)(void *ctx, const struct scheduler_pool *pool), void *ctx)
+{
+	g_autoptr(GArray) pools = g_array_new(FALSE, FALSE, sizeof(struct scheduler_pool));
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct exec *e = value;
+
+		if (e->service && scheduler_usable(s, e))
+			add_to_pool(pools, e);
+	}
+	for (guint i = 0; i < pools->len; i++)
+		fn(ctx, &g_array_index(pools, struct scheduler_pool, i));
+}
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -34,6 +34,7 @@
 	const char *checkpoint; /* NULL for none */
 	uint32_t run;
 	int64_t deadline_ms; /* on the runner's clock */
+	uint32_t timeout_ms;
 };
 
 enum start_result {
@@ -55,6 +56,7 @@
 	int64_t deadline_ms; /* on the runner's clock; 0 to leave the lease as it is */
 	uint64_t seen;	     /* ends up to here may be forgotten */
 	uint32_t wait_ms;    /* for an end */
+	uint32_t timeout_ms;
 };
 
 enum run_end {
@@ -184,4 +186,14 @@
 };
 void scheduler_sums(const struct scheduler *s, struct scheduler_sums *sums);
 
+/* Room of the runners of one service that may be used. */
+struct scheduler_pool {
+	const char *service; /* valid during the call */
+	uint32_t runners;
+	struct amount room;
+	struct amount used;
+};
+void scheduler_each_pool(const struct scheduler *s,
+			 void (*fn)(void *ctx, const struct scheduler_pool *pool), void *ctx);
+
 #endif
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -35,10 +35,12 @@
 	int64_t until_ms;
 };
 
+/* A question to the scheduler, about a state or with a record to append. */
 struct state_call {
 	uint64_t call;
 	int64_t until_ms;
 	state_fn fn;
+	stored_fn stored; /* one of them */
 	void *ctx;
 };
 
@@ -149,6 +151,8 @@
 		reply_state(p, e->state_ask);
 	} else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_REPLY) {
 		take_advice(p->links, e->advice_reply);
+	} else if (e->body_case == KW__ENVELOPE__BODY_APPEND_ASK) {
+		p->links->ops->append(p->links->ctx, p, e->append_ask);
 	} else {
 		p->links->ops->replied(p->links->ctx, e);
 	}
@@ -183,7 +187,10 @@
 	struct state_call c = g_array_index(l->state_call, struct state_call, i);
 
 	g_array_remove_index_fast(l->state_call, i);
-	c.fn(c.ctx, known, state);
+	if (c.stored)
+		c.stored(c.ctx, known);
+	else
+		c.fn(c.ctx, known, state);
 }
 
 static void close_up(struct links *l)
@@ -196,12 +203,12 @@
 		finish_state(l, l->state_call->len - 1, false, JOB_QUEUED);
 }
 
-static void take_state(struct links *l, const Cell__StateReply *m)
+static void take_answer(struct links *l, uint64_t call, bool known, enum job_state state)
 {
 	for (guint i = 0; i < l->state_call->len; i++) {
-		if (g_array_index(l->state_call, struct state_call, i).call != m->call)
+		if (g_array_index(l->state_call, struct state_call, i).call != call)
 			continue;
-		finish_state(l, i, m->known, (enum job_state)m->state);
+		finish_state(l, i, known, state);
 		return;
 	}
 }
@@ -211,7 +218,10 @@
 	struct links *l = ctx;
 
 	if (e->body_case == KW__ENVELOPE__BODY_STATE_REPLY)
-		take_state(l, e->state_reply);
+		take_answer(l, e->state_reply->call, e->state_reply->known,
+			    (enum job_state)e->state_reply->state);
+	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_REPLY)
+		take_answer(l, e->append_reply->call, e->append_reply->stored, JOB_QUEUED);
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
 		l->ops->ask(l->ctx, e->advice_ask->call, e->advice_ask->step,
 			    (const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
@@ -314,6 +324,45 @@
 	return true;
 }
 
+bool links_ask_append(struct links *l, const char *key, const uint8_t *value, size_t size,
+		      uint32_t within_ms, stored_fn fn, void *ctx)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AppendAsk m = CELL__APPEND_ASK__INIT;
+	struct state_call c = { .stored = fn, .ctx = ctx };
+
+	if (!l->up)
+		return false;
+	c.call = ++l->next_call;
+	c.until_ms = node_now_ms() + within_ms;
+	m.call = c.call;
+	m.key = (char *)key;
+	m.value.data = (uint8_t *)value;
+	m.value.len = size;
+	m.within_ms = within_ms;
+	e.body_case = KW__ENVELOPE__BODY_APPEND_ASK;
+	e.append_ask = &m;
+	if (!link_send(l->up, &e, 0))
+		return false;
+	g_array_append_val(l->state_call, c);
+	return true;
+}
+
+void links_appended(struct links *l, const struct peer *p, uint64_t call, bool stored)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
+	guint i;
+
+	if (!g_ptr_array_find(l->peer, p, &i))
+		return;
+	m.call = call;
+	m.stored = stored;
+	e.body_case = KW__ENVELOPE__BODY_APPEND_REPLY;
+	e.append_reply = &m;
+	link_send(p->link, &e, 0);
+}
+
 bool links_ask_advice(struct links *l, uint64_t call, const char *step, const char *const *runner,
 		      size_t n, uint64_t cost_us, uint64_t own_us)
 {
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -26,6 +26,8 @@
 	/* advised - an answer of a node that was asked; answered is false if its link was lost. */
 	void (*advised)(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
 			size_t n, uint32_t validity_ms);
+	/* append - a peer asks to append a record; answered by links_appended(). */
+	void (*append)(void *ctx, struct peer *p, const Cell__AppendAsk *ask);
 	/* order - the scheduler gives an order for a runner; answered by links_reply(). */
 	void (*order)(void *ctx, const Kw__Envelope *e);
 	/* replied - an answer to an order that this node gave. */
@@ -44,6 +46,16 @@
 void links_follow(struct links *l, const char *address, uint64_t term);
 /* links_lead - drops the nodes that are linked and are not asked any more, when lead is false. */
 void links_lead(struct links *l, bool lead);
+/* stored is false if the scheduler did not say that the record is in the log. */
+typedef void (*stored_fn)(void *ctx, bool stored);
+/*
+ * links_ask_append - asks the scheduler to append a record; false if there is no link; else fn is
+ * called, at the latest after within_ms.
+ */
+bool links_ask_append(struct links *l, const char *key, const uint8_t *value, size_t size,
+		      uint32_t within_ms, stored_fn fn, void *ctx);
+/* links_appended - answer to a peer; p may be gone since. */
+void links_appended(struct links *l, const struct peer *p, uint64_t call, bool stored);
 /* links_ask_state - false if there is no link; else fn is called, at the latest at the time-out. */
 bool links_ask_state(struct links *l, const char *id, state_fn fn, void *ctx);
 /*
--- a/packages/node/ports.h
+++ b/packages/node/ports.h
@@ -70,6 +70,8 @@
 /* look is NULL if there was no answer. */
 typedef void (*looked_fn)(void *ctx, const struct look *look);
 
+#define STOP_TIMEOUT_MS 600 /* of a stop; it is repeated without an answer */
+
 struct runner_ops {
 	void (*start)(void *impl, const struct start_order *order, uint64_t term, started_fn fn,
 		      void *ctx);
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -9,8 +9,7 @@
 #define PRODUCER	  "scheduler"
 #define PARTS		  2
 #define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_WAIT_MS	  700  /* a silent read delays cancellations, which have 3 s */
-#define LEAD_PAUSE_MS	  15 /* between reads of the scheduler: jobs that come together share one */
+#define LEAD_READ_MS 300 /* between reads of the scheduler: most jobs come by way of it */
 #define RETRY_MS	  80 /* after a refusal or no answer */
 #define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
 #define REFUSALS_MAX	  3   /* then callers do better with another node */
@@ -259,11 +258,11 @@
 		return;
 	}
 	if (page->n)
-		r->next = page->record[page->n - 1].offset + 1;
+		r->next = MAX(r->next, page->record[page->n - 1].offset + 1);
 	if (r->next < page->next)
 		return;
 	r->end_seen = true;
-	r->due_ms += j->leading ? LEAD_PAUSE_MS : FOLLOW_MS;
+	r->due_ms += j->leading ? LEAD_READ_MS : FOLLOW_MS;
 	check_refresh(j);
 }
 
@@ -271,16 +270,13 @@
 {
 	struct joblog *j = r->log;
 	struct read_call *call = g_new(struct read_call, 1);
-	bool wait = j->leading && !j->refreshing;
-
 	call->reader = r;
 	call->generation = r->generation;
 	r->reading = true;
 	if (r->after)
 		j->store.ops->newest(j->store.impl, TOPIC, r->part, r->after, on_page, call);
 	else
-		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next, wait ? LEAD_WAIT_MS : 0,
-				   on_page, call);
+		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next, 0, on_page, call);
 }
 
 static void send_appends(struct joblog *j);
@@ -293,6 +289,15 @@
 	return now + RETRY_MS < p->until_ms;
 }
 
+/* The scheduler need not read what it has appended. */
+static void skip_own(struct joblog *j, enum store_result result, uint64_t offset, uint32_t n)
+{
+	struct reader *r = &j->reader[JOBLOG_JOBS];
+
+	if (result == STORE_OK && j->leading && !r->after && offset == r->next)
+		r->next += n;
+}
+
 static void on_jobs_appended(void *ctx, enum store_result result, uint64_t offset)
 {
 	struct joblog *j = ctx;
@@ -301,14 +306,17 @@
 
 	j->sent = NULL;
 	note_answer(j, result);
+	skip_own(j, result, offset, sent->len);
 	for (guint i = sent->len; i > 0; i--) {
 		struct pending *p = sent->pdata[i - 1];
 
 		p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
 		p->refusals += result == STORE_REFUSED;
-		if (result == STORE_OK)
+		if (result == STORE_OK) {
+			if (j->leading)
+				book_apply(j->book, p->key, p->value, p->size);
 			finish(p, STORE_OK);
-		else if (worth_a_try(j, p, now))
+		} else if (worth_a_try(j, p, now))
 			g_queue_push_head(&j->queue, p);
 		else
 			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -10,8 +10,9 @@
 #include "node.h"
 #include "relay.h"
 
+#define FORWARD_MS    1200 /* of a caller's time for the scheduler's answer; then we append */
 #define POKE_MS	      4	   /* what happens within it is decided together */
-#define SUMS_EVERY_MS 5000 /* between log lines of what the scheduler has done */
+#define SUMS_EVERY_MS 2000 /* between log lines of what the scheduler has done */
 
 struct node {
 	struct node_conf conf;
@@ -86,6 +87,21 @@
 	arm(n, node_now_ms() + POKE_MS);
 }
 
+static int64_t percent(int64_t part, int64_t whole)
+{
+	return whole ? part * 100 / whole : 0;
+}
+
+static void log_pool(void *ctx, const struct scheduler_pool *p)
+{
+	log_info("pool", p->service,
+		 "%u runners, used: cpu %" G_GINT64_FORMAT "%%, memory %" G_GINT64_FORMAT
+		 "%%, accelerators %" G_GINT64_FORMAT "%%",
+		 p->runners, percent(p->used.cpu_milli, p->room.cpu_milli),
+		 percent(p->used.mem_bytes, p->room.mem_bytes),
+		 percent(p->used.accel, p->room.accel));
+}
+
 static void log_sums(struct node *n, int64_t now)
 {
 	struct scheduler_sums s;
@@ -103,6 +119,7 @@
 		 s.open_jobs, s.runs, s.runners, s.silent_runners, s.starts, s.refused,
 		 s.ends[END_DONE], s.ends[END_FAILED], s.lapsed, s.asks, s.waiting_tasks,
 		 s.gangs_waiting, s.steps_without_room, s.steps_asking, s.steps_not_asked);
+	scheduler_each_pool(n->scheduler, log_pool, NULL);
 }
 
 static gboolean on_timer(gpointer data)
@@ -447,6 +464,37 @@
 		scheduler_set_helpers(n->scheduler, count + 1);
 }
 
+/* A record of another node that is appended here. */
+struct lodged {
+	struct node *node;
+	const struct peer *peer;
+	uint64_t call;
+};
+
+static void on_lodged(void *ctx, enum store_result result)
+{
+	struct lodged *d = ctx;
+
+	links_appended(d->node->links, d->peer, d->call, result == STORE_OK);
+	g_free(d);
+}
+
+static void on_append(void *ctx, struct peer *p, const Cell__AppendAsk *ask)
+{
+	struct node *n = ctx;
+	struct lodged *d = g_new0(struct lodged, 1);
+
+	d->node = n;
+	d->peer = p;
+	d->call = ask->call;
+	if (!n->scheduler) {
+		on_lodged(d, STORE_REFUSED);
+		return;
+	}
+	joblog_append(n->log, ask->key, g_memdup2(ask->value.data, ask->value.len), ask->value.len,
+		      node_now_ms() + ask->within_ms, on_lodged, d);
+}
+
 static void on_order(void *ctx, const Kw__Envelope *e)
 {
 	relay_order(((struct node *)ctx)->relay, e);
@@ -463,6 +511,7 @@
 }
 
 static const struct links_ops links_ops = {
+	.append = on_append,
 	.order = on_order,
 	.replied = on_replied,
 	.peer_lost = on_peer_lost,
@@ -567,6 +616,9 @@
 struct intake {
 	struct node *node;
 	char id[JOB_ID_LEN + 1];
+	char *key; /* of the record to append */
+	uint8_t *value;
+	size_t size;
 	int64_t until_ms;
 	intake_fn fn;
 	intake_state_fn state_fn;
@@ -590,19 +642,56 @@
 	return result == STORE_UNKNOWN ? INTAKE_UNKNOWN : INTAKE_REFUSED;
 }
 
+static void intake_free(struct intake *c)
+{
+	g_free(c->key);
+	g_free(c->value);
+	g_free(c);
+}
+
 static void on_intake_done(void *ctx, enum store_result result)
 {
 	struct intake *c = ctx;
 
 	c->fn(c->ctx, intake_result(result));
-	g_free(c);
+	intake_free(c);
+}
+
+static void append_here(struct intake *c)
+{
+	joblog_append(c->node->log, c->key, g_steal_pointer(&c->value), c->size, c->until_ms,
+		      on_intake_done, c);
+}
+
+/* Without the scheduler's word the record may be in the log or not; appending it again is harmless. */
+static void on_stored(void *ctx, bool stored)
+{
+	struct intake *c = ctx;
+
+	if (stored)
+		on_intake_done(c, STORE_OK);
+	else
+		append_here(c);
+}
+
+/*
+ * The scheduler appends what all nodes take in with one call, and knows of it without reading. With a
+ * slow store, whose partitions take one append at a time, that is what keeps callers from waiting for
+ * each other.
+ */
+static void store_intake(struct intake *c)
+{
+	int64_t within_ms = MIN(c->until_ms - node_now_ms(), FORWARD_MS);
+
+	if (c->node->scheduler || within_ms <= 0 ||
+	    !links_ask_append(c->node->links, c->key, c->value, c->size, (uint32_t)within_ms,
+			      on_stored, c))
+		append_here(c);
 }
 
 void node_submit(struct node *n, Cell__Job *job, int64_t until_ms, intake_fn fn, void *ctx)
 {
 	struct intake *c;
-	size_t size;
-	uint8_t *value;
 
 	if (book_find(joblog_book(n->log), job->id)) {
 		cell__job__free_unpacked(job, NULL);
@@ -611,20 +700,22 @@
 	}
 	c = intake_create(n, job->id, ctx);
 	c->fn = fn;
-	size = cell__job__get_packed_size(job);
-	value = g_malloc(size + 1);
-	cell__job__pack(job, value);
-	joblog_append(n->log, job->id, value, size, until_ms, on_intake_done, c);
+	c->until_ms = until_ms;
+	c->key = g_strdup(job->id);
+	c->size = cell__job__get_packed_size(job);
+	c->value = g_malloc(c->size + 1);
+	cell__job__pack(job, c->value);
 	cell__job__free_unpacked(job, NULL);
+	store_intake(c);
 }
 
 static void append_cancel(struct intake *c)
 {
-	g_autofree char *key = g_strdup_printf("%s/c", c->id);
-	uint8_t *value = g_malloc(1);
-
-	value[0] = 1;
-	joblog_append(c->node->log, key, value, 1, c->until_ms, on_intake_done, c);
+	c->key = g_strdup_printf("%s/c", c->id);
+	c->value = g_malloc(1);
+	c->value[0] = 1;
+	c->size = 1;
+	store_intake(c);
 }
 
 static void on_cancel_refreshed(void *ctx, enum store_result result)
@@ -633,7 +724,7 @@
 
 	if (result == STORE_OK && !book_find(joblog_book(c->node->log), c->id)) {
 		c->fn(c->ctx, INTAKE_NOT_FOUND);
-		g_free(c);
+		intake_free(c);
 	} else if (result == STORE_OK) {
 		append_cancel(c);
 	} else {
@@ -656,7 +747,7 @@
 static void finish_state(struct intake *c, enum intake_result result, enum job_state state)
 {
 	c->state_fn(c->ctx, result, state);
-	g_free(c);
+	intake_free(c);
 }
 
 static void on_state_refreshed(void *ctx, enum store_result result)
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -1,7 +1,7 @@
 #include "relay.h"
 
-#define ANSWER_MS 1600 /* of a node: its own call to the runner ends sooner */
-#define TICK_MS	  100
+#define ANSWER_MS 250 /* of a node, beyond its own time-out of the call */
+#define TICK_MS	  50
 
 enum order_kind {
 	ORDER_START = 0,
@@ -37,7 +37,7 @@
 };
 
 static struct given *give(struct relay *r, struct peer *p, const Kw__Envelope *e,
-			  enum order_kind kind, uint32_t wait_ms, void *ctx)
+			  enum order_kind kind, uint32_t timeout_ms, void *ctx)
 {
 	struct given *g;
 
@@ -46,7 +46,7 @@
 	g = g_new0(struct given, 1);
 	g->kind = kind;
 	g->peer = p;
-	g->until_ms = node_now_ms() + wait_ms + ANSWER_MS;
+	g->until_ms = node_now_ms() + timeout_ms + ANSWER_MS;
 	g->ctx = ctx;
 	g_hash_table_insert(r->given, GUINT_TO_POINTER(r->next_call), g);
 	return g;
@@ -72,9 +72,10 @@
 		m.checkpoint = (char *)order->checkpoint;
 	m.run = order->run;
 	m.deadline_ms = order->deadline_ms;
+	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_START_ORDER;
 	e.start_order = &m;
-	g = p ? give(r, p, &e, ORDER_START, 0, ctx) : NULL;
+	g = p ? give(r, p, &e, ORDER_START, order->timeout_ms, ctx) : NULL;
 	if (g)
 		g->fn.started = fn;
 	else
@@ -98,7 +99,7 @@
 	m.run = run;
 	e.body_case = KW__ENVELOPE__BODY_STOP_ORDER;
 	e.stop_order = &m;
-	g = p ? give(r, p, &e, ORDER_STOP, 0, ctx) : NULL;
+	g = p ? give(r, p, &e, ORDER_STOP, STOP_TIMEOUT_MS, ctx) : NULL;
 	if (g)
 		g->fn.stopped = fn;
 	else
@@ -120,9 +121,10 @@
 	m.deadline_ms = order->deadline_ms;
 	m.seen = order->seen;
 	m.wait_ms = order->wait_ms;
+	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_LOOK_ORDER;
 	e.look_order = &m;
-	g = p ? give(r, p, &e, ORDER_LOOK, order->wait_ms, ctx) : NULL;
+	g = p ? give(r, p, &e, ORDER_LOOK, order->timeout_ms, ctx) : NULL;
 	if (g)
 		g->fn.looked = fn;
 	else
@@ -335,7 +337,8 @@
 					     .ticket = or_null(m->ticket),
 					     .checkpoint = or_null(m->checkpoint),
 					     .run = m->run,
-					     .deadline_ms = m->deadline_ms };
+					     .deadline_ms = m->deadline_ms,
+					     .timeout_ms = m->timeout_ms };
 
 		ops->start(r->runners.impl, &order, m->term, on_started, taken_create(r, m->call));
 	} else if (e->body_case == KW__ENVELOPE__BODY_STOP_ORDER) {
@@ -349,7 +352,8 @@
 					    .address = m->address,
 					    .deadline_ms = m->deadline_ms,
 					    .seen = m->seen,
-					    .wait_ms = m->wait_ms };
+					    .wait_ms = m->wait_ms,
+					    .timeout_ms = m->timeout_ms };
 
 		ops->look(r->runners.impl, &order, m->term, on_looked, taken_create(r, m->call));
 	}
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -862,6 +862,96 @@
   assert(message->base.descriptor == &cell__look_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell__append_ask__init
+                     (Cell__AppendAsk         *message)
+{
+  static const Cell__AppendAsk init_value = CELL__APPEND_ASK__INIT;
+  *message = init_value;
+}
+size_t cell__append_ask__get_packed_size
+                     (const Cell__AppendAsk *message)
+{
+  assert(message->base.descriptor == &cell__append_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__append_ask__pack
+                     (const Cell__AppendAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__append_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__append_ask__pack_to_buffer
+                     (const Cell__AppendAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__append_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__AppendAsk *
+       cell__append_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__AppendAsk *)
+     protobuf_c_message_unpack (&cell__append_ask__descriptor,
+                                allocator, len, data);
+}
+void   cell__append_ask__free_unpacked
+                     (Cell__AppendAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__append_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__append_reply__init
+                     (Cell__AppendReply         *message)
+{
+  static const Cell__AppendReply init_value = CELL__APPEND_REPLY__INIT;
+  *message = init_value;
+}
+size_t cell__append_reply__get_packed_size
+                     (const Cell__AppendReply *message)
+{
+  assert(message->base.descriptor == &cell__append_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__append_reply__pack
+                     (const Cell__AppendReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__append_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__append_reply__pack_to_buffer
+                     (const Cell__AppendReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__append_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__AppendReply *
+       cell__append_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__AppendReply *)
+     protobuf_c_message_unpack (&cell__append_reply__descriptor,
+                                allocator, len, data);
+}
+void   cell__append_reply__free_unpacked
+                     (Cell__AppendReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__append_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor cell__step__field_descriptors[18] =
 {
   {
@@ -1956,7 +2046,7 @@
   (ProtobufCMessageInit) cell__advice_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__start_order__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cell__start_order__field_descriptors[11] =
 {
   {
     "call",
@@ -2078,6 +2168,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timeout_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__start_order__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2090,11 +2192,12 @@
   4,   /* field[4] = task */
   1,   /* field[1] = term */
   6,   /* field[6] = ticket */
+  10,   /* field[10] = timeout_ms */
 };
 static const ProtobufCIntRange cell__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cell__start_order__descriptor =
 {
@@ -2104,7 +2207,7 @@
   "Cell__StartOrder",
   "cell",
   sizeof(Cell__StartOrder),
-  10,
+  11,
   cell__start_order__field_descriptors,
   cell__start_order__field_indices_by_name,
   1,  cell__start_order__number_ranges,
@@ -2316,7 +2419,7 @@
   (ProtobufCMessageInit) cell__stop_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__look_order__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cell__look_order__field_descriptors[8] =
 {
   {
     "call",
@@ -2402,6 +2505,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timeout_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__look_order__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2410,12 +2525,13 @@
   2,   /* field[2] = runner */
   5,   /* field[5] = seen */
   1,   /* field[1] = term */
+  7,   /* field[7] = timeout_ms */
   6,   /* field[6] = wait_ms */
 };
 static const ProtobufCIntRange cell__look_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cell__look_order__descriptor =
 {
@@ -2425,7 +2541,7 @@
   "Cell__LookOrder",
   "cell",
   sizeof(Cell__LookOrder),
-  7,
+  8,
   cell__look_order__field_descriptors,
   cell__look_order__field_indices_by_name,
   1,  cell__look_order__number_ranges,
@@ -2728,6 +2844,134 @@
   (ProtobufCMessageInit) cell__look_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cell__append_ask__field_descriptors[4] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendAsk, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendAsk, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendAsk, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "within_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendAsk, within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__append_ask__field_indices_by_name[] = {
+  0,   /* field[0] = call */
+  1,   /* field[1] = key */
+  2,   /* field[2] = value */
+  3,   /* field[3] = within_ms */
+};
+static const ProtobufCIntRange cell__append_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cell__append_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.AppendAsk",
+  "AppendAsk",
+  "Cell__AppendAsk",
+  "cell",
+  sizeof(Cell__AppendAsk),
+  4,
+  cell__append_ask__field_descriptors,
+  cell__append_ask__field_indices_by_name,
+  1,  cell__append_ask__number_ranges,
+  (ProtobufCMessageInit) cell__append_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__append_reply__field_descriptors[2] =
+{
+  {
+    "call",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendReply, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendReply, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__append_reply__field_indices_by_name[] = {
+  0,   /* field[0] = call */
+  1,   /* field[1] = stored */
+};
+static const ProtobufCIntRange cell__append_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cell__append_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.AppendReply",
+  "AppendReply",
+  "Cell__AppendReply",
+  "cell",
+  sizeof(Cell__AppendReply),
+  2,
+  cell__append_reply__field_descriptors,
+  cell__append_reply__field_indices_by_name,
+  1,  cell__append_reply__number_ranges,
+  (ProtobufCMessageInit) cell__append_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue cell__lead_kind__enum_values_by_number[3] =
 {
   { "CLAIM", "CELL__LEAD_KIND__CLAIM", 0 },
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -34,6 +34,8 @@
 typedef struct Cell__RunningTask Cell__RunningTask;
 typedef struct Cell__EndedTask Cell__EndedTask;
 typedef struct Cell__LookReply Cell__LookReply;
+typedef struct Cell__AppendAsk Cell__AppendAsk;
+typedef struct Cell__AppendReply Cell__AppendReply;
 
 
 /* --- enums --- */
@@ -245,10 +247,11 @@
   char *checkpoint;
   uint32_t run;
   int64_t deadline_ms;
+  uint32_t timeout_ms;
 };
 #define CELL__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__start_order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Cell__StartReply
@@ -298,10 +301,11 @@
   int64_t deadline_ms;
   uint64_t seen;
   uint32_t wait_ms;
+  uint32_t timeout_ms;
 };
 #define CELL__LOOK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__look_order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Cell__RunningTask
@@ -350,6 +354,33 @@
     , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * A record of the job log that another daemon appends together with its own.
+ */
+struct  Cell__AppendAsk
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  char *key;
+  ProtobufCBinaryData value;
+  uint32_t within_ms;
+};
+#define CELL__APPEND_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__append_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+struct  Cell__AppendReply
+{
+  ProtobufCMessage base;
+  uint64_t call;
+  protobuf_c_boolean stored;
+};
+#define CELL__APPEND_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__append_reply__descriptor) \
+    , 0, 0 }
+
+
 /* Cell__Step methods */
 void   cell__step__init
                      (Cell__Step         *message);
@@ -711,6 +742,44 @@
 void   cell__look_reply__free_unpacked
                      (Cell__LookReply *message,
                       ProtobufCAllocator *allocator);
+/* Cell__AppendAsk methods */
+void   cell__append_ask__init
+                     (Cell__AppendAsk         *message);
+size_t cell__append_ask__get_packed_size
+                     (const Cell__AppendAsk   *message);
+size_t cell__append_ask__pack
+                     (const Cell__AppendAsk   *message,
+                      uint8_t             *out);
+size_t cell__append_ask__pack_to_buffer
+                     (const Cell__AppendAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__AppendAsk *
+       cell__append_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__append_ask__free_unpacked
+                     (Cell__AppendAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__AppendReply methods */
+void   cell__append_reply__init
+                     (Cell__AppendReply         *message);
+size_t cell__append_reply__get_packed_size
+                     (const Cell__AppendReply   *message);
+size_t cell__append_reply__pack
+                     (const Cell__AppendReply   *message,
+                      uint8_t             *out);
+size_t cell__append_reply__pack_to_buffer
+                     (const Cell__AppendReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__AppendReply *
+       cell__append_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__append_reply__free_unpacked
+                     (Cell__AppendReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cell__Step_Closure)
@@ -770,6 +839,12 @@
 typedef void (*Cell__LookReply_Closure)
                  (const Cell__LookReply *message,
                   void *closure_data);
+typedef void (*Cell__AppendAsk_Closure)
+                 (const Cell__AppendAsk *message,
+                  void *closure_data);
+typedef void (*Cell__AppendReply_Closure)
+                 (const Cell__AppendReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -796,6 +871,8 @@
 extern const ProtobufCMessageDescriptor cell__running_task__descriptor;
 extern const ProtobufCMessageDescriptor cell__ended_task__descriptor;
 extern const ProtobufCMessageDescriptor cell__look_reply__descriptor;
+extern const ProtobufCMessageDescriptor cell__append_ask__descriptor;
+extern const ProtobufCMessageDescriptor cell__append_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/wire/kw.pb-c.c
+++ b/packages/wire/kw.pb-c.c
@@ -2172,7 +2172,7 @@
   (ProtobufCMessageInit) kw__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[24] =
+static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[26] =
 {
   {
     "hello",
@@ -2462,10 +2462,36 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "append_ask",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, append_ask),
+    &cell__append_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "append_reply",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, append_reply),
+    &cell__append_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kw__envelope__field_indices_by_name[] = {
   16,   /* field[16] = advice_ask */
   17,   /* field[17] = advice_reply */
+  24,   /* field[24] = append_ask */
+  25,   /* field[25] = append_reply */
   1,   /* field[1] = beat */
   3,   /* field[3] = begin */
   2,   /* field[2] = call */
@@ -2492,7 +2518,7 @@
 static const ProtobufCIntRange kw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor kw__envelope__descriptor =
 {
@@ -2502,7 +2528,7 @@
   "Kw__Envelope",
   "kw",
   sizeof(Kw__Envelope),
-  24,
+  26,
   kw__envelope__field_descriptors,
   kw__envelope__field_indices_by_name,
   1,  kw__envelope__number_ranges,
--- a/packages/wire/kw.pb-c.h
+++ b/packages/wire/kw.pb-c.h
@@ -384,7 +384,9 @@
   KW__ENVELOPE__BODY_STOP_ORDER = 21,
   KW__ENVELOPE__BODY_STOP_REPLY = 22,
   KW__ENVELOPE__BODY_LOOK_ORDER = 23,
-  KW__ENVELOPE__BODY_LOOK_REPLY = 24
+  KW__ENVELOPE__BODY_LOOK_REPLY = 24,
+  KW__ENVELOPE__BODY_APPEND_ASK = 25,
+  KW__ENVELOPE__BODY_APPEND_REPLY = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(KW__ENVELOPE__BODY__CASE)
 } Kw__Envelope__BodyCase;
 
@@ -417,6 +419,8 @@
     Cell__StopReply *stop_reply;
     Cell__LookOrder *look_order;
     Cell__LookReply *look_reply;
+    Cell__AppendAsk *append_ask;
+    Cell__AppendReply *append_reply;
   };
 };
 #define KW__ENVELOPE__INIT \
