Late jobs step back; the scheduler is replaced sooner

Cause: under overload the oldest came first, so that each job was late in turn. A release was claimed by all nodes at once, which with a slow store (one append at a time) took 5 s; a killed scheduler was waited for 2.4 s though its process had ended. Change: jobs are ranked by whether they can still be in time (core order, with its table of cases); a release names its successor; a refused link and an older process of the same node are hints that the lease need not be waited for, which the terms make safe; the lease is 2 s.

--- /dev/null
+++ b/packages/cell/process/order.c
@@ -0,0 +1,89 @@
+#include "order.h"
+
+/* Times of all steps on the way to the end of each, of one occurrence. */
+static int64_t longest_chain(const struct plan *p, const struct plan_step *base, bool left_only)
+{
+	size_t n = p->job->n_step;
+	g_autofree int64_t *end = g_new0(int64_t, n);
+	int64_t longest = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct plan_step *s = &base[i];
+		bool done = s->done >= s->spec->count;
+
+		for (size_t k = 0; k < s->spec->n_after; k++)
+			end[i] = MAX(end[i], end[s->spec->after[k]]);
+		if (!left_only || !done)
+			end[i] += s->spec->estimate_ms;
+		longest = MAX(longest, end[i]);
+	}
+	return longest;
+}
+
+/* The occurrence that ends next; the last one of a job without times is its only one. */
+static const struct plan_step *open_occurrence(const struct plan *p, uint32_t *occurrence)
+{
+	size_t n = p->job->n_step;
+
+	for (uint32_t o = 0; o * n < p->n_step; o++)
+		for (size_t i = 0; i < n; i++)
+			if (p->step[o * n + i].done < p->step[o * n + i].spec->count) {
+				*occurrence = o;
+				return &p->step[o * n];
+			}
+	*occurrence = 0;
+	return p->step;
+}
+
+struct outlook {
+	int64_t begin_ms; /* from when its caller counts */
+	int64_t objective_ms;
+	int64_t left_ms;
+};
+
+static struct outlook outlook_of(const struct plan *p)
+{
+	uint32_t occurrence;
+	const struct plan_step *base = open_occurrence(p, &occurrence);
+	int64_t due_ms = plan_due_ms(p, occurrence);
+
+	return (struct outlook){
+		.begin_ms = MAX(due_ms, p->job->accepted_ms),
+		.objective_ms = longest_chain(p, base, false) * p->job->stretch_milli / 1000 +
+				p->job->objective_ms,
+		.left_ms = longest_chain(p, base, true),
+	};
+}
+
+int64_t order_slack_ms(const struct plan *p, int64_t wall_ms)
+{
+	struct outlook o = outlook_of(p);
+
+	return o.begin_ms + o.objective_ms - o.left_ms - ORDER_SLACK_MS - wall_ms;
+}
+
+struct order_rank order_rank(const struct plan *p, int64_t wall_ms)
+{
+	struct outlook o = outlook_of(p);
+	struct order_rank r = { .priority = p->job->priority, .key = o.begin_ms };
+	int64_t end_ms = wall_ms + o.left_ms + ORDER_SLACK_MS - o.begin_ms;
+
+	if (plan_lasts(p))
+		r.tier = ORDER_LASTING;
+	else if (end_ms <= o.objective_ms)
+		r.tier = ORDER_IN_TIME;
+	else if (end_ms <= ORDER_LATE_TIMES * o.objective_ms)
+		r.tier = ORDER_LATE;
+	else
+		r.tier = ORDER_HOPELESS;
+	return r;
+}
+
+int order_compare(const struct order_rank *a, const struct order_rank *b)
+{
+	if (a->tier != b->tier)
+		return a->tier < b->tier ? -1 : 1;
+	if (a->priority != b->priority)
+		return a->priority < b->priority ? -1 : 1;
+	return a->key < b->key ? -1 : a->key > b->key;
+}
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -1,11 +1,12 @@
 #include <string.h>
 
+#include "order.h"
 #include "scheduler_priv.h"
 
-#define ASK_NAMES_MAX	100    /* runners in one question, the platform's bound */
-#define ASK_NAMES_MIN	8      /* named even where naming costs more than deciding */
-#define ASK_LOAD_US	400000 /* outstanding calls of a helper; beyond it, answers come too late */
-#define BLOCKED_GANGS	2      /* gangs of a pool that keep room free while they wait */
+#define ASK_NAMES_MAX 100    /* runners in one question, the platform's bound */
+#define ASK_NAMES_MIN 8	     /* named even where naming costs more than deciding */
+#define ASK_LOAD_US   400000 /* outstanding calls of a helper; beyond it, answers come too late */
+#define BLOCKED_GANGS 2	     /* gangs of a pool that keep room free while they wait */
 
 /* One placement pass over a pool of runners. */
 struct pass_pool {
@@ -29,21 +30,29 @@
 	bool advised;
 };
 
-/*
- * Tasks that last come first: they are few, and while one is down its users are not served at all.
- */
 static int by_order(gconstpointer a, gconstpointer b)
 {
 	const struct plan *p = *(struct plan *const *)a;
 	const struct plan *q = *(struct plan *const *)b;
+	int order = order_compare(p->rank, q->rank);
 
-	if (plan_lasts(p) != plan_lasts(q))
-		return plan_lasts(p) ? -1 : 1;
-	if (p->job->priority != q->job->priority)
-		return p->job->priority < q->job->priority ? -1 : 1;
-	if (p->job->accepted_ms != q->job->accepted_ms)
-		return p->job->accepted_ms < q->job->accepted_ms ? -1 : 1;
-	return strcmp(p->id, q->id);
+	return order ? order : strcmp(p->id, q->id);
+}
+
+/* Ranks change with time, so each pass sorts anew. */
+static void sort_open(struct scheduler *s)
+{
+	g_autofree struct order_rank *rank = g_new(struct order_rank, s->open->len + 1);
+
+	for (guint i = 0; i < s->open->len; i++) {
+		struct plan *p = s->open->pdata[i];
+
+		rank[i] = order_rank(p, s->wall_ms);
+		p->rank = &rank[i];
+	}
+	g_ptr_array_sort(s->open, by_order);
+	for (guint i = 0; i < s->open->len; i++)
+		((struct plan *)s->open->pdata[i])->rank = NULL;
 }
 
 static void pool_free(gpointer data)
@@ -144,8 +153,7 @@
 			continue;
 		if (!suits(t, e) || !has_room(t, e))
 			continue;
-		if (ticketed && t->advised &&
-		    !advice_ticket(t->step->advice, e->handle, valid_ms))
+		if (ticketed && t->advised && !advice_ticket(t->step->advice, e->handle, valid_ms))
 			continue;
 		score = rate(t, e);
 		if (!best || score < best_score) {
@@ -244,8 +252,7 @@
 		s->sums.steps_without_room++;
 		return;
 	}
-	if (a->retry_ms > s->now_ms ||
-	    s->asking_us > (uint64_t)ASK_LOAD_US * MAX(s->helpers, 1)) {
+	if (a->retry_ms > s->now_ms || s->asking_us > (uint64_t)ASK_LOAD_US * MAX(s->helpers, 1)) {
 		s->sums.steps_not_asked++;
 		return;
 	}
@@ -264,8 +271,7 @@
 		for (guint i = 0; i < t->pool->exec->len; i++) {
 			struct exec *e = t->pool->exec->pdata[i];
 
-			if (suits(t, e) && has_room(t, e) &&
-			    (!best || rate(t, e) < rate(t, best)))
+			if (suits(t, e) && has_room(t, e) && (!best || rate(t, e) < rate(t, best)))
 				best = e;
 		}
 		if (!best)
@@ -420,9 +426,7 @@
 
 	if (!s->queues)
 		return;
-	if (s->unsorted)
-		g_ptr_array_sort(s->open, by_order);
-	s->unsorted = false;
+	sort_open(s);
 	gather(&pass);
 	s->sums.waiting_tasks = 0;
 	s->sums.steps_without_room = 0;
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -32,7 +32,6 @@
 		return;
 	p->listed = true;
 	g_ptr_array_add(s->open, p);
-	s->unsorted = true;
 }
 
 struct amount scheduler_need(const Cell__Step *spec)
@@ -542,8 +541,8 @@
 	}
 	if (!look || look->other || look->born_ms < e->born_ms) {
 		e->misses++;
-		e->look_ms = now_ms +
-			     MIN((int64_t)LOOK_RETRY_MS * (e->misses - 1), LOOK_RETRY_MAX_MS);
+		e->look_ms =
+			now_ms + MIN((int64_t)LOOK_RETRY_MS * (e->misses - 1), LOOK_RETRY_MAX_MS);
 		return;
 	}
 	if (!e->born_ms)
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -26,7 +26,6 @@
 	uint64_t batch_next; /* the batch that is written next */
 	uint64_t batch_acked;
 	bool writing;
-	bool unsorted;	    /* open */
 	uint32_t helpers;   /* processes that ask the advisor */
 	uint64_t asking_us; /* time of the advisor that calls under way take */
 	bool fenced;
--- a/packages/cell/request/plan.h
+++ b/packages/cell/request/plan.h
@@ -30,6 +30,7 @@
 
 struct run;
 struct advice;
+struct order_rank;
 
 struct plan_task {
 	uint32_t run;	   /* number of the last start, 0 for none */
@@ -69,6 +70,7 @@
 	/* Of the scheduler. */
 	bool dirty;		      /* has changed since it was written */
 	bool listed;		      /* among the open jobs */
+	struct order_rank *rank;      /* in the current pass */
 	uint32_t live;		      /* runs that may exist */
 	uint32_t failed_on;	      /* handle + 1 of the runner on which a task failed first */
 	enum job_state written_state; /* in the batch written last */
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -234,7 +234,7 @@
 	struct links *l = ctx;
 
 	log_info("link", l->address, "link to the scheduler lost: %s", why);
-	l->dial_ms = node_now_ms() + DIAL_RETRY_MS;
+	l->dial_ms = 0;
 	close_up(l);
 }
 
@@ -266,6 +266,8 @@
 	if (!conn) {
 		log_info("dial", l->address, "%s", err->message);
 		l->dial_ms = node_now_ms() + DIAL_RETRY_MS;
+		if (g_error_matches(err, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED))
+			l->ops->refused(l->ctx);
 		return;
 	}
 	bound_silence(conn);
@@ -455,6 +457,17 @@
 	return best;
 }
 
+const char *links_any(const struct links *l)
+{
+	for (guint i = 0; i < l->peer->len; i++) {
+		const struct peer *p = l->peer->pdata[i];
+
+		if (p->name)
+			return p->name;
+	}
+	return "";
+}
+
 bool links_give(struct peer *p, const Kw__Envelope *e)
 {
 	return link_send(p->link, e, 0) > 0;
@@ -507,8 +520,9 @@
 		return status_set(st, STATUS_INVALID, "listen", ip, "not an IP address");
 	l->service = g_socket_service_new();
 	g_socket_listener_set_backlog(G_SOCKET_LISTENER(l->service), BACKLOG);
-	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(l->service), addr, G_SOCKET_TYPE_STREAM,
-					   G_SOCKET_PROTOCOL_TCP, NULL, NULL, &err))
+	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(l->service), addr,
+					   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+					   &err))
 		return status_set(st, STATUS_UNAVAILABLE, "listen", ip, "link port %u: %s", port,
 				  err->message);
 	g_signal_connect(l->service, "incoming", G_CALLBACK(on_incoming), l);
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -34,11 +34,14 @@
 	void (*replied)(void *ctx, const Kw__Envelope *e);
 	/* peer_lost - orders that were given to this peer get no answer. */
 	void (*peer_lost)(void *ctx, const struct peer *p);
+	/* refused - the scheduler's host runs, but takes no links: its process has ended. */
+	void (*refused)(void *ctx);
 	/* peers - the number of nodes that are linked to this one has changed. */
 	void (*peers)(void *ctx, uint32_t n);
 };
 
-struct links *links_create(const char *self, const char *dc, const struct links_ops *ops, void *ctx);
+struct links *links_create(const char *self, const char *dc, const struct links_ops *ops,
+			   void *ctx);
 void links_destroy(struct links *l);
 /* links_listen - on ip and port; false with the reason in st. */
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
@@ -73,6 +76,8 @@
  * each time while the links stay, the next one with each rank. NULL if no node is linked.
  */
 struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank);
+/* links_any - name of some linked node, "" for none; valid until the loop runs. */
+const char *links_any(const struct links *l);
 /* links_give - false if the peer can't take it. */
 bool links_give(struct peer *p, const Kw__Envelope *e);
 /* links_reply - to the scheduler; dropped if the link is gone. */
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -8,10 +8,11 @@
 
 #define TOPIC		  "lead"
 #define READ_WAIT_MS	  2000
-#define APPEND_TIMEOUT_MS 1500
+#define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
 #define TICK_MS		  100
 #define RETRY_MS	  200 /* after an answer that did not come */
 #define SPREAD_MS	  200 /* nodes claim at different times within it */
+#define HINT_MS		  400 /* a successor is waited for, and the hint of an end is checked, that long */
 
 struct election {
 	struct store store;
@@ -20,8 +21,9 @@
 	const struct election_ops *ops;
 	void *ctx;
 	guint timer;
-	uint64_t next; /* offset to read from, and the end of the log as known */
-	char *holder;  /* self of the holder, NULL for none */
+	uint64_t next;	 /* offset to read from, and the end of the log as known */
+	char *holder;	 /* self of the holder, NULL for none */
+	char *successor; /* for the release */
 	uint64_t term;
 	bool leading;
 	bool closing;
@@ -77,6 +79,24 @@
 	e->ops->holder(e->ctx, m->address, term);
 }
 
+static void take_release(struct election *e, const Cell__Lead *m)
+{
+	e->ops->holder(e->ctx, "", e->term);
+	if (!*m->successor || g_str_equal(m->successor, e->self))
+		g_clear_pointer(&e->holder, g_free);
+	else
+		e->heard_ms = node_now_ms() - ELECTION_LEASE_MS + HINT_MS;
+}
+
+/* Whether the holder is an older process of this node. */
+static bool holder_is_past(const struct election *e)
+{
+	const char *slash = strchr(e->self, '/');
+	size_t len = slash ? (size_t)(slash - e->self) + 1 : 0;
+
+	return len && strncmp(e->holder, e->self, len) == 0 && !g_str_equal(e->holder, e->self);
+}
+
 static void apply(struct election *e, const struct store_record *rec)
 {
 	Cell__Lead *m = cell__lead__unpack(NULL, rec->size, rec->value);
@@ -92,8 +112,7 @@
 	} else if (m->kind == CELL__LEAD_KIND__RENEWAL && m->term == e->term) {
 		e->heard_ms = node_now_ms();
 	} else if (m->kind == CELL__LEAD_KIND__RELEASE && m->term == e->term && !e->leading) {
-		g_clear_pointer(&e->holder, g_free);
-		e->ops->holder(e->ctx, "", e->term);
+		take_release(e, m);
 	}
 	cell__lead__free_unpacked(m, NULL);
 }
@@ -183,6 +202,8 @@
 	m.node = e->self;
 	m.address = e->address;
 	m.term = e->term;
+	if (kind == CELL__LEAD_KIND__RELEASE)
+		m.successor = e->successor;
 	rec.size = cell__lead__get_packed_size(&m);
 	buf = g_malloc(rec.size + 1);
 	cell__lead__pack(&m, buf);
@@ -196,11 +217,14 @@
 
 static bool may_claim(const struct election *e, int64_t now)
 {
+	/* A store that has just come back has to give the holder time for a renewal. */
 	int64_t since = MAX(e->heard_ms, e->answering_ms);
 
 	if (!e->caught_up || !e->answering_ms || e->closing)
 		return false;
-	return !e->holder || now - since > ELECTION_LEASE_MS + e->spread_ms;
+	if (!e->holder || holder_is_past(e))
+		return true;
+	return now - since > ELECTION_LEASE_MS + e->spread_ms;
 }
 
 static void lead(struct election *e, int64_t now)
@@ -260,16 +284,20 @@
 		return;
 	if (e->timer)
 		g_source_remove(e->timer);
+	g_free(e->successor);
 	g_free(e->holder);
 	g_free(e->address);
 	g_free(e->self);
 	g_free(e);
 }
 
-void election_release(struct election *e)
+void election_release(struct election *e, const char *successor)
 {
 	bool leading = e->leading;
 
+	g_free(e->successor);
+	e->successor = g_strdup(successor);
+
 	e->closing = true;
 	step_down(e, "it stops");
 	e->release_due = leading && e->appending;
@@ -279,6 +307,12 @@
 		e->released = true;
 }
 
+void election_suspect(struct election *e)
+{
+	if (!e->leading)
+		e->heard_ms = MIN(e->heard_ms, node_now_ms() - ELECTION_LEASE_MS + HINT_MS);
+}
+
 void election_superseded(struct election *e, const char *by)
 {
 	g_autofree char *why = g_strdup_printf("a newer term was seen by %s", by);
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -11,8 +11,8 @@
  * renewals on the same condition; a node that hears no renewal for ELECTION_LEASE_MS, while the
  * store answers it, claims. A holder that was not renewed for ELECTION_STOP_MS gives up by itself.
  */
-#define ELECTION_RENEW_MS 700  /* three renewals may get lost before the lease ends */
-#define ELECTION_LEASE_MS 2400 /* within the platform's bound for a machine out of touch (4 s) */
+#define ELECTION_RENEW_MS 500  /* three renewals may get lost before the lease ends */
+#define ELECTION_LEASE_MS 2000 /* half of the platform's bound for a machine out of touch */
 #define ELECTION_STOP_MS  8000 /* longer than most outages of the store, in which work goes on */
 
 struct election;
@@ -26,15 +26,20 @@
 	void (*holder)(void *ctx, const char *address, uint64_t term);
 };
 
-/* election_create - self names this process, also among restarts; address is for the others. */
+/* election_create - self is NODE/START, so that restarts differ; address is for the others. */
 struct election *election_create(const struct store *store, const char *self, const char *address,
 				 const struct election_ops *ops, void *ctx);
 void election_destroy(struct election *e);
 /* election_start - from then on the loop calls election_tick() often enough. */
 void election_start(struct election *e);
 void election_tick(struct election *e);
-/* election_release - gives the lease back and never claims again. */
-void election_release(struct election *e);
+/*
+ * election_release - gives the lease back and never claims again. successor is the self of a node
+ * that should claim it, "" for any; the others wait a little.
+ */
+void election_release(struct election *e, const char *successor);
+/* election_suspect - the holder's process seems to have ended: its lease is not waited for. */
+void election_suspect(struct election *e);
 /* election_superseded - a runner or the log has seen a higher term. */
 void election_superseded(struct election *e, const char *by);
 /* election_released - the release stands in the log, or there was nothing to release. */
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -9,11 +9,11 @@
 #define PRODUCER	  "scheduler"
 #define PARTS		  2
 #define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_READ_MS 300 /* between reads of the scheduler: most jobs come by way of it */
-#define RETRY_MS	  80 /* after a refusal or no answer */
-#define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
-#define REFUSALS_MAX	  3   /* then callers do better with another node */
-#define AWAY_MISSES	  2   /* calls in a row without an answer: the store is away */
+#define LEAD_READ_MS	  300  /* between reads of the scheduler: most jobs come by way of it */
+#define RETRY_MS	  80   /* after a refusal or no answer */
+#define APPEND_TIMEOUT_MS 1400 /* half of the time that callers have; a slow store takes 0.6 s */
+#define REFUSALS_MAX	  3    /* then callers do better with another node */
+#define AWAY_MISSES	  2    /* calls in a row without an answer: the store is away */
 #define TICK_MS		  20
 #define CALL_BYTES_MAX	  262144 /* of an append; far below the platform's limit of a call */
 
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -510,7 +510,13 @@
 	relay_peer_lost(((struct node *)ctx)->relay, p);
 }
 
+static void on_refused(void *ctx)
+{
+	election_suspect(((struct node *)ctx)->election);
+}
+
 static const struct links_ops links_ops = {
+	.refused = on_refused,
 	.append = on_append,
 	.order = on_order,
 	.replied = on_replied,
@@ -554,7 +560,7 @@
 void node_stop(struct node *n)
 {
 	n->stopping = true;
-	election_release(n->election);
+	election_release(n->election, links_any(n->links));
 }
 
 bool node_stopped(const struct node *n)
@@ -663,7 +669,8 @@
 		      on_intake_done, c);
 }
 
-/* Without the scheduler's word the record may be in the log or not; appending it again is harmless. */
+/* Without the scheduler's word the record may be in the log or not; appending it again is harmless.
+ */
 static void on_stored(void *ctx, bool stored)
 {
 	struct intake *c = ctx;
@@ -675,9 +682,9 @@
 }
 
 /*
- * The scheduler appends what all nodes take in with one call, and knows of it without reading. With a
- * slow store, whose partitions take one append at a time, that is what keeps callers from waiting for
- * each other.
+ * The scheduler appends what all nodes take in with one call, and knows of it without reading. With
+ * a slow store, whose partitions take one append at a time, that is what keeps callers from waiting
+ * for each other.
  */
 static void store_intake(struct intake *c)
 {
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1598,7 +1598,7 @@
   (ProtobufCMessageInit) cell__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__lead__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cell__lead__field_descriptors[5] =
 {
   {
     "kind",
@@ -1648,17 +1648,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "successor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__Lead, successor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__lead__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = kind */
   1,   /* field[1] = node */
+  4,   /* field[4] = successor */
   3,   /* field[3] = term */
 };
 static const ProtobufCIntRange cell__lead__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cell__lead__descriptor =
 {
@@ -1668,7 +1681,7 @@
   "Cell__Lead",
   "cell",
   sizeof(Cell__Lead),
-  4,
+  5,
   cell__lead__field_descriptors,
   cell__lead__field_indices_by_name,
   1,  cell__lead__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -146,10 +146,14 @@
   char *node;
   char *address;
   uint64_t term;
+  /*
+   * Of a release: who may claim at once. Empty for anyone.
+   */
+  char *successor;
 };
 #define CELL__LEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__lead__descriptor) \
-    , CELL__LEAD_KIND__CLAIM, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , CELL__LEAD_KIND__CLAIM, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- /dev/null
+++ b/tests/cell/test_order.c
@@ -0,0 +1,132 @@
+#include <criterion/criterion.h>
+
+#include "bed.h"
+#include "process/order.h"
+
+#define ID "00000000000000a1"
+
+/* An objective of 2 x 500 ms + 1,000 ms for each step in a chain. */
+static struct plan *make(uint32_t steps, bool lasting)
+{
+	Cell__Job *job = bed_job(ID, "q", 1, 100);
+	struct plan *p = plan_create(ID);
+
+	for (uint32_t i = 1; i < steps; i++) {
+		Cell__Step *s = bed_add_step(job, 1, 100);
+
+		s->after = g_new0(uint32_t, 1);
+		s->after[0] = i - 1;
+		s->n_after = 1;
+	}
+	job->step[0]->lasting = lasting;
+	job->stretch_milli = 2000;
+	job->objective_ms = 1000;
+	job->accepted_ms = 10000;
+	cr_assert(plan_set_job(p, job));
+	return p;
+}
+
+struct tier_case {
+	uint32_t steps;
+	uint32_t done;
+	int64_t waited_ms;
+	enum order_tier tier;
+};
+
+Test(order, tiers)
+{
+	static const struct tier_case cases[] = {
+		{ 1, 0, 0, ORDER_IN_TIME },	{ 1, 0, 1450, ORDER_IN_TIME },
+		{ 1, 0, 1451, ORDER_LATE },	{ 1, 0, 5450, ORDER_LATE },
+		{ 1, 0, 5451, ORDER_HOPELESS }, { 2, 0, 1950, ORDER_IN_TIME },
+		{ 2, 0, 1951, ORDER_LATE },	{ 2, 1, 2450, ORDER_IN_TIME },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct plan *p = make(cases[i].steps, false);
+
+		for (uint32_t k = 0; k < cases[i].done; k++)
+			plan_task_done(p, k);
+		cr_expect_eq(order_rank(p, 10000 + cases[i].waited_ms).tier, cases[i].tier,
+			     "case %zu", i);
+		plan_destroy(p);
+	}
+}
+
+Test(order, tasks_that_last_never_count_as_late)
+{
+	struct plan *p = make(1, true);
+
+	cr_assert_eq(order_rank(p, 1000000).tier, ORDER_LASTING);
+	plan_destroy(p);
+}
+
+struct rank_case {
+	struct order_rank first;
+	struct order_rank second;
+};
+
+Test(order, comparison)
+{
+	static const struct rank_case cases[] = {
+		{ { ORDER_LASTING, 5, 9 }, { ORDER_IN_TIME, 0, 1 } },
+		{ { ORDER_IN_TIME, 2, 9 }, { ORDER_LATE, 0, 1 } },
+		{ { ORDER_IN_TIME, 0, 9 }, { ORDER_IN_TIME, 1, 1 } },
+		{ { ORDER_IN_TIME, 1, 1 }, { ORDER_IN_TIME, 1, 9 } },
+		{ { ORDER_LATE, 2, 9 }, { ORDER_HOPELESS, 0, 1 } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cr_expect_lt(order_compare(&cases[i].first, &cases[i].second), 0, "case %zu", i);
+		cr_expect_gt(order_compare(&cases[i].second, &cases[i].first), 0, "case %zu", i);
+	}
+}
+
+/*
+ * Pattern: a burst of urgent jobs for which there is not enough room. Oldest first makes each of
+ * them late in turn; those that can't be in time any more have to step back.
+ */
+Test(order, in_a_burst_late_jobs_step_back)
+{
+	struct bed *b = bed_create();
+	const struct bed_start *first;
+
+	bed_queue(b, "urgent", "desk", 0, 3, 0);
+	bed_begin(b);
+	bed_runner(b, "r0", "desk", "rack0", 100, 0);
+	bed_settle(b);
+	for (int i = 0; i < 2; i++) {
+		g_autofree char *id = g_strdup_printf("00000000000000d%d", i);
+		Cell__Job *job = bed_job(id, "urgent", 1, 100);
+
+		job->stretch_milli = 2000;
+		job->objective_ms = 1000;
+		job->accepted_ms = b->wall_ms - 5000 + i * 5000;
+		bed_submit(b, job);
+	}
+	bed_pass(b, 1);
+	bed_ack(b);
+	cr_assert_eq(b->starts, 1);
+	first = &g_array_index(b->start, struct bed_start, 0);
+	cr_assert_str_eq(first->task, "00000000000000d1.0.0.0");
+	bed_destroy(b);
+}
+
+Test(order, of_a_repeated_job_each_time_counts_by_itself)
+{
+	Cell__Job *job = bed_job(ID, "q", 1, 100);
+	struct plan *p = plan_create(ID);
+
+	job->stretch_milli = 2000;
+	job->objective_ms = 1000;
+	job->accepted_ms = 10000;
+	job->repeats = 2;
+	job->first_due_ms = 20000;
+	job->every_ms = 5000;
+	cr_assert(plan_set_job(p, job));
+	cr_assert_eq(order_rank(p, 21000).tier, ORDER_IN_TIME);
+	cr_assert_eq(order_rank(p, 22000).tier, ORDER_LATE);
+	plan_task_done(p, 0);
+	cr_assert_eq(order_rank(p, 26000).tier, ORDER_IN_TIME);
+	plan_destroy(p);
+}
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -106,6 +106,8 @@
 	cr_assert_eq(start_at(b, 0)->run, 1);
 	cr_assert_eq(start_at(b, 0)->rank, 1);
 	bed_start_answer(b, ID_A ".0.0.0", START_UNKNOWN);
+	cr_assert_eq(start_at(b, 0)->rank, 2);
+	bed_start_answer(b, ID_A ".0.0.0", START_UNKNOWN);
 	bed_pass(b, 1);
 	cr_assert_eq(b->start->len, 0);
 	cr_assert_eq(b->stop->len, 1);
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -213,7 +213,7 @@
 	pass(l, v, 1, 500);
 	voter_begin(&v[1], l, "b");
 	pass(l, v, 2, 1000);
-	election_release(v[0].election);
+	election_release(v[0].election, "");
 	pass(l, v, 2, 500);
 	cr_assert(election_released(v[0].election));
 	cr_assert_eq(v[0].term, 0);
@@ -222,3 +222,84 @@
 	cr_assert_eq(v[0].won, 1, "it does not claim again");
 	end(l, v, 2);
 }
+
+/* The process of the holder was killed and starts again on the same node, or on all nodes at once.
+ */
+Test(election, a_restarted_holder_does_not_wait_for_itself)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a/1");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b/1");
+	pass(l, v, 2, 1000);
+	g_clear_pointer(&v[0].election, election_destroy);
+	fake_forget(v[0].client);
+	voter_begin(&v[0], l, "a/2");
+	pass(l, v, 2, 300);
+	cr_assert_gt(v[0].term, 0);
+	end(l, v, 2);
+}
+
+Test(election, names_that_begin_alike_are_other_nodes)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a-1/1");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "a/1");
+	pass(l, v, 2, 1000);
+	cr_assert_eq(v[1].won, 0);
+	end(l, v, 2);
+}
+
+Test(election, the_named_successor_comes_first)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[3] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	voter_begin(&v[2], l, "c");
+	pass(l, v, 3, 1000);
+	election_release(v[0].election, "c");
+	pass(l, v, 3, 300);
+	cr_assert_gt(v[2].term, 0);
+	cr_assert_eq(v[1].won, 0);
+	end(l, v, 3);
+}
+
+Test(election, a_successor_that_does_not_claim_is_not_waited_for_long)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 3000);
+	election_release(v[0].election, "gone");
+	pass(l, v, 2, 1000);
+	cr_assert_gt(v[1].term, 0);
+	end(l, v, 2);
+}
+
+Test(election, a_holder_whose_process_has_ended_is_not_waited_for)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 3000);
+	election_suspect(v[1].election);
+	fake_forget(v[0].client);
+	g_clear_pointer(&v[0].election, election_destroy);
+	pass(l, v, 2, 1000);
+	cr_assert_gt(v[1].term, 0, "without a renewal it is replaced soon");
+	end(l, v, 2);
+}
