--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -2,6 +2,7 @@
 
 #include "order.h"
 #include "scheduler_priv.h"
+#include "yield.h"
 
 #define ASK_NAMES_MAX 100    /* runners in one question, the platform's bound */
 #define ASK_NAMES_MIN 8	     /* named even where naming costs more than deciding */
@@ -28,6 +29,7 @@
 	const struct queue *queue; /* NULL if it is not configured any more */
 	struct amount need;
 	bool advised;
+	uint32_t yield; /* part of a runner, of 1000, to leave free */
 };
 
 static int by_order(gconstpointer a, gconstpointer b)
@@ -116,9 +118,7 @@
 
 static bool has_room(const struct target *t, const struct exec *e)
 {
-	struct amount free = exec_free(e);
-
-	if (!amount_fits(&t->need, &free))
+	if (!yield_fits(e, &t->need, t->yield))
 		return false;
 	return !t->step->spec->spread_max || on_runner(e, t) < t->step->spec->spread_max;
 }
@@ -403,6 +403,7 @@
 		return;
 	t.need = scheduler_need(step->spec);
 	t.advised = q ? q->advised : p->job->advised;
+	t.yield = yield_milli(p, pass->s->queues, pass->s->wall_ms);
 	if (step->spec->gang)
 		place_gang(pass, &t);
 	else
--- a/packages/cell/version/queues.c
+++ b/packages/cell/version/queues.c
@@ -117,3 +117,14 @@
 	}
 	return NULL;
 }
+
+bool queues_more_urgent(const struct queues *q, const char *service, uint32_t priority)
+{
+	for (guint i = 0; i < q->queue->len; i++) {
+		const struct queue *c = q->queue->pdata[i];
+
+		if (c->priority < priority && g_str_equal(c->service, service))
+			return true;
+	}
+	return false;
+}
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -14,7 +14,8 @@
 #define QUEUE_MAX_BYTES	 4194304
 #define DIAL_RETRY_MS	 300
 #define DIAL_TIMEOUT_S	 2
-#define STATE_TIMEOUT_MS 700  /* then the store is read instead */
+#define STATE_TIMEOUT_MS 400  /* then the store is read instead */
+#define SILENCE_MS	 1000 /* unacknowledged bytes end a link after that */
 #define ASK_TIMEOUT_MS	 3500 /* an advisor's queue of calls is shorter */
 #define TICK_MS		 50
 #define BACKLOG		 256
@@ -76,7 +77,7 @@
 	GSocket *sock = g_socket_connection_get_socket(conn);
 
 	g_socket_set_timeout(sock, 0);
-	g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, STATE_TIMEOUT_MS * 2, NULL);
+	g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_MS, NULL);
 }
 
 static void answer_advice(struct links *l, guint i, bool answered, const struct ticket *ticket,
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -792,7 +792,11 @@
 	}
 	c = intake_create(n, id, ctx);
 	c->state_fn = fn;
-	if (!links_ask_state(n->links, id, on_state_told, c))
+	if (links_ask_state(n->links, id, on_state_told, c))
+		return;
+	if (joblog_away(n->log))
+		finish_state(c, INTAKE_REFUSED, JOB_QUEUED);
+	else
 		joblog_refresh(n->log, on_state_refreshed, c);
 }
 
