--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -458,6 +458,11 @@
 	return best;
 }
 
+uint32_t links_count(const struct links *l)
+{
+	return l->peer->len;
+}
+
 const char *links_any(const struct links *l)
 {
 	for (guint i = 0; i < l->peer->len; i++) {
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -76,6 +76,8 @@
  * each time while the links stay, the next one with each rank. NULL if no node is linked.
  */
 struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank);
+/* links_count - nodes that are linked to this one. */
+uint32_t links_count(const struct links *l);
 /* links_any - name of some linked node, "" for none; valid until the loop runs. */
 const char *links_any(const struct links *l);
 /* links_give - false if the peer can't take it. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -342,6 +342,8 @@
 	n->scheduler = scheduler_create(&n->conf.scheduler, joblog_book(n->log), &scheduler_ops, n,
 					node_now_ms());
 	scheduler_configure(n->scheduler, n->queues);
+	/* Nodes may have linked before the job log was read. */
+	scheduler_set_helpers(n->scheduler, links_count(n->links) + 1);
 	log_notice("lead", NULL, "scheduling begins with %u jobs, term %" G_GUINT64_FORMAT,
 		   book_count(joblog_book(n->log)), n->term);
 	n->ops->scheduling(n->ctx, true);
