--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -428,6 +428,7 @@
 	struct plan_step *step;
 	struct plan *p = plan_of(by, order->task, &step);
 
+	g_assert_nonnull(step);
 	o->by = by;
 	by->refs++;
 	o->runner = g_strdup(order->runner);
--- a/tests/cell/test_order.c
+++ b/tests/cell/test_order.c
@@ -101,7 +101,7 @@
 
 		job->stretch_milli = 2000;
 		job->objective_ms = 1000;
-		job->accepted_ms = b->wall_ms - 5000 + i * 5000;
+		job->accepted_ms = b->wall_ms - 5000 + (int64_t)i * 5000;
 		bed_submit(b, job);
 	}
 	bed_pass(b, 1);
--- a/tests/cell/test_plan.c
+++ b/tests/cell/test_plan.c
@@ -182,10 +182,9 @@
 Test(plan, nothing_done_yet_is_still_a_record)
 {
 	struct plan *p = make(bed_job(ID, "q", 1, 100));
-	g_autofree uint8_t *buf = NULL;
-	size_t size;
+	size_t size = 0;
 
-	buf = plan_progress(p, &size);
+	g_free(plan_progress(p, &size));
 	cr_assert_gt(size, 0, "a record without a value would drop the key");
 	plan_destroy(p);
 }
--- a/tests/platform/test_entries.c
+++ b/tests/platform/test_entries.c
@@ -79,7 +79,7 @@
 
 	cr_assert(entries_runner("r", text, strlen(text), &info, &root));
 	cr_assert_eq(info.room.cpu_milli, 16000);
-	cr_assert_eq(info.room.mem_bytes, 2 * 1048576);
+	cr_assert_eq(info.room.mem_bytes, 2097152);
 	cr_assert_eq(info.room.accel, 3);
 	cr_assert_str_eq(info.rack, "rack");
 	cr_assert_str_eq(info.label[0], "kind");
