Decision logs that never block, metrics, and knapweedwheel trace

Cause: on-call engineers have logs and metrics only, and the scheduler on the platform told little of its decisions; a stalled reader of standard output would have stalled the daemon; lines about requests that differ only by id were left out as repeats. Change: the scheduler tells its decisions (scheduler_ops.decided), the node logs and counts them; lines about requests are bounded by kind (100 a second, with a count of what was left out); standard output is never waited for, lost lines are counted; histograms of answers, of first starts and of jobs by queue; trace puts one job's life together from several logs. Tests: a full pipe, the bound by kind, files that are cut or none of ours.

--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -21,8 +21,7 @@
 	for (uint32_t i = FAULTS_MAX; i < e->faults && pause < BAR_MAX_MS; i++)
 		pause *= 2;
 	e->barred_until_ms = s->now_ms + MIN(pause, BAR_MAX_MS);
-	g_info("runner %s: no starts for %" G_GINT64_FORMAT " ms after %u failures", e->id, pause,
-	       e->faults);
+	scheduler_tell_runner(s, DECISION_RUNNER_BARRED, e, MIN(pause, BAR_MAX_MS));
 }
 
 static void finish_task(struct scheduler *s, struct plan *p, uint32_t task)
@@ -87,6 +86,8 @@
 	of = &p->step[occurrence * p->job->n_step + step];
 	r = p->task[task].live;
 	if (r && r->no == end->run && r->exec == e) {
+		if (end->end == END_FAILED)
+			scheduler_tell_run(s, DECISION_FAILED, r);
 		scheduler_drop_run(s, r);
 	} else if (end->end != END_DONE || p->task[task].done) {
 		/* An older run, of which everything is known already. */
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -17,8 +17,44 @@
 #define RETRY_MS	  50   /* a task that was refused waits that long */
 #define ASK_RETRY_MS	  200  /* after the advisor did not answer */
 #define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
+#define SILENT_MISSES	  3    /* looks in a row without an answer; single ones get lost */
 #define IDLE_TICK_MS	  1000
 
+static void tell(struct scheduler *s, const struct decision *d)
+{
+	if (s->ops->decided)
+		s->ops->decided(s->ctx, d);
+}
+
+void scheduler_tell_run(struct scheduler *s, enum decision_kind kind, const struct run *r)
+{
+	const struct decision d = { .kind = kind,
+				    .plan = r->plan,
+				    .runner = r->exec->id,
+				    .task = r->task,
+				    .run = r->no,
+				    .age_ms = s->now_ms - r->planned_ms };
+
+	tell(s, &d);
+}
+
+void scheduler_tell_runner(struct scheduler *s, enum decision_kind kind, const struct exec *e,
+			   int64_t age_ms)
+{
+	const struct decision d = { .kind = kind, .runner = e->id, .age_ms = age_ms };
+
+	tell(s, &d);
+}
+
+static void tell_job(struct scheduler *s, enum decision_kind kind, const struct plan *p)
+{
+	const struct decision d = { .kind = kind,
+				    .plan = p,
+				    .age_ms = s->wall_ms - p->job->accepted_ms };
+
+	tell(s, &d);
+}
+
 static void run_link(struct plan *p, struct run *r)
 {
 	p->task[r->task].live = r;
@@ -91,6 +127,7 @@
 	struct plan_step *step = plan_step_of(p, r->task);
 
 	s->sums.lapsed++;
+	scheduler_tell_run(s, DECISION_LOST, r);
 	scheduler_drop_run(s, r);
 	if (step->spec->gang)
 		scheduler_stop_gang(s, p, step);
@@ -151,6 +188,7 @@
 {
 	p->state = state;
 	p->ended_ms = s->wall_ms;
+	tell_job(s, DECISION_JOB_ENDED, p);
 	stop_all(s, p);
 	scheduler_mark(s, p);
 }
@@ -191,7 +229,6 @@
 
 		if (r->state == RUN_PLANNED)
 			continue;
-		g_info("runner %s: the lease of %s task %u has ended", e->id, r->plan->id, r->task);
 		scheduler_lose_run(s, r);
 	}
 }
@@ -227,7 +264,7 @@
 {
 	struct exec *fresh = exec_create(info, s->next_handle++);
 
-	g_info("runner %s was born again, %u runs are over", e->id, e->run->len);
+	scheduler_tell_runner(s, DECISION_RUNNER_BORN, e, s->now_ms - e->answered_ms);
 	fresh->look_ms = s->now_ms;
 	fresh->granted_until_ms = s->now_ms + s->conf.inherited_ms;
 	while (e->run->len) {
@@ -435,6 +472,7 @@
 	struct plan_step *step = plan_step_of(p, r->task);
 
 	s->sums.refused++;
+	scheduler_tell_run(s, DECISION_REFUSED, r);
 	p->task[r->task].ready_ms = s->now_ms + wait_ms;
 	scheduler_drop_run(s, r);
 	if (step->spec->gang)
@@ -446,6 +484,7 @@
 	r->state = RUN_DOUBT;
 	if (r->stopping || r->orders >= ORDERS_MAX) {
 		r->stopping = true;
+		scheduler_tell_run(s, DECISION_UNANSWERED, r);
 		order_stop(s, r);
 	} else {
 		order_start(s, r);
@@ -467,6 +506,8 @@
 	if (result == START_OK) {
 		r->state = RUN_ON;
 		r->on_ms = now_ms;
+		if (!r->plan->started)
+			tell_job(s, DECISION_FIRST_START, r->plan);
 		plan_started(r->plan);
 		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
 		if (r->stopping)
@@ -547,6 +588,8 @@
 	}
 	if (!e->born_ms)
 		e->born_ms = look->born_ms;
+	if (e->misses >= SILENT_MISSES)
+		scheduler_tell_runner(s, DECISION_RUNNER_BACK, e, now_ms - e->answered_ms);
 	if (!e->contacted)
 		exec_reached(e, s->conf.lease_ms, now_ms);
 	exec_answered(e, look->clock_ms, now_ms);
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -106,7 +106,32 @@
 	const char *ticket;
 };
 
+enum decision_kind {
+	DECISION_JOB_ENDED = 0, /* outcome in state */
+	DECISION_FIRST_START,	/* of the job */
+	DECISION_REFUSED,	/* a runner refused a start */
+	DECISION_UNANSWERED,	/* a start was not answered and is stopped */
+	DECISION_FAILED,	/* a run ended by a fault */
+	DECISION_LOST,		/* a run ended without an end of its own */
+	DECISION_RUNNER_SILENT, /* a runner does not answer looks */
+	DECISION_RUNNER_BACK,
+	DECISION_RUNNER_BARRED, /* it fails what it starts */
+	DECISION_RUNNER_BORN,	/* it was born again */
+};
+
+/* A decision that touches a job or what is believed of a runner. */
+struct decision {
+	enum decision_kind kind;
+	const struct plan *plan; /* NULL if it is about a runner only */
+	const char *runner;	 /* NULL if it is about a job only */
+	uint32_t task;
+	uint32_t run;
+	int64_t age_ms; /* of the job, the run, or what is known of the runner */
+};
+
 struct scheduler_ops {
+	/* decided - may be NULL. */
+	void (*decided)(void *ctx, const struct decision *d);
 	void (*start)(void *ctx, const struct start_order *order);
 	void (*stop)(void *ctx, const struct route *route, const char *runner, const char *address,
 		     const char *task, uint32_t run);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -35,6 +35,10 @@
 	struct scheduler_sums sums;
 };
 
+/* scheduler_tell_run, scheduler_tell_runner - tells of a decision. */
+void scheduler_tell_run(struct scheduler *s, enum decision_kind kind, const struct run *r);
+void scheduler_tell_runner(struct scheduler *s, enum decision_kind kind, const struct exec *e,
+			   int64_t age_ms);
 /* scheduler_mark - the job's progress has changed. */
 void scheduler_mark(struct scheduler *s, struct plan *p);
 /* scheduler_plan_run - takes room for a start of the task; its intent goes into the next batch. */
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -14,6 +14,7 @@
 	{ "cancel", "Cancels a job", command_cancel },
 	{ "explain", "Says why a job or service waits or can't run", command_explain },
 	{ "drain", "Makes a daemon hand over its work and stop", command_drain },
+	{ "trace", "Puts one job's life together from logs", command_trace },
 };
 
 static void print_usage(FILE *out)
--- a/packages/daemon/log.c
+++ b/packages/daemon/log.c
@@ -1,5 +1,8 @@
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <json-glib/json-glib.h>
 
@@ -24,6 +27,10 @@
 struct log {
 	FILE *out;
 	GLogLevelFlags lowest;
+	bool never_block;
+	GString *rest; /* of a line that was written in part */
+	uint64_t lost;
+	uint64_t lost_told;
 	struct repeat repeat[REPEAT_SLOTS];
 };
 
@@ -68,6 +75,7 @@
 		l = g_new0(struct log, 1);
 		l->out = out;
 		l->lowest = level_names[i].level;
+		l->rest = g_string_new(NULL);
 		return l;
 	}
 	return NULL;
@@ -75,9 +83,25 @@
 
 void log_destroy(struct log *l)
 {
+	if (!l)
+		return;
+	g_string_free(l->rest, TRUE);
 	g_free(l);
 }
 
+void log_never_block(struct log *l)
+{
+	int fd = fileno(l->out);
+	int flags = fcntl(fd, F_GETFL);
+
+	l->never_block = flags >= 0 && fcntl(fd, F_SETFL, flags | O_NONBLOCK) == 0;
+}
+
+uint64_t log_lost(const struct log *l)
+{
+	return l->lost;
+}
+
 /* Fields of GLib may be given with a length instead of a terminator. */
 static const char *field_text(const GLogField *field, char *buf, size_t size)
 {
@@ -102,18 +126,28 @@
 	return hash;
 }
 
+/* Lines about requests of one kind share a bound. */
+static guint kind_hash(const struct line *line)
+{
+	guint hash = line->module ? g_str_hash(line->module) : 0;
+
+	return hash * 31 + (line->step ? g_str_hash(line->step) : 0) + 1;
+}
+
 /* False if the line is not to be written now. */
 static bool repeat_pass(struct log *l, struct line *line, int64_t now_ms)
 {
-	guint hash = line_hash(line);
+	guint hash = line->request ? kind_hash(line) : line_hash(line);
+	uint32_t most = line->request ? LOG_KIND_MAX : LOG_REPEAT_MAX;
+	int64_t within_ms = line->request ? LOG_KIND_MS : LOG_REPEAT_MS;
 	struct repeat *r = &l->repeat[hash % REPEAT_SLOTS];
 
-	if (r->hash != hash || r->written == 0 || now_ms - r->since_ms >= LOG_REPEAT_MS ||
+	if (r->hash != hash || r->written == 0 || now_ms - r->since_ms >= within_ms ||
 	    now_ms < r->since_ms) {
 		line->suppressed = r->hash == hash ? r->suppressed : 0;
 		*r = (struct repeat){ .hash = hash, .since_ms = now_ms };
 	}
-	if (r->written >= LOG_REPEAT_MAX) {
+	if (r->written >= most) {
 		r->suppressed++;
 		return false;
 	}
@@ -141,6 +175,38 @@
 	add_text(b, "time", text);
 }
 
+/* True if everything was taken. */
+static bool put_some(struct log *l, const char *text, size_t size, size_t *done)
+{
+	ssize_t n;
+
+	do {
+		n = write(fileno(l->out), text, size);
+	} while (n < 0 && errno == EINTR);
+	*done = n > 0 ? (size_t)n : 0;
+	return *done == size;
+}
+
+/* A line that was begun is ended before the next one; a line that can't be begun is lost. */
+static void put_line(struct log *l, const char *text)
+{
+	g_autofree char *line = g_strdup_printf("%s\n", text);
+	size_t done;
+
+	if (l->rest->len && !put_some(l, l->rest->str, l->rest->len, &done)) {
+		g_string_erase(l->rest, 0, (gssize)done);
+		l->lost++;
+		return;
+	}
+	g_string_truncate(l->rest, 0);
+	if (put_some(l, line, strlen(line), &done))
+		return;
+	if (done)
+		g_string_append(l->rest, line + done);
+	else
+		l->lost++;
+}
+
 static void print_line(struct log *l, const struct line *line, int64_t now_ms)
 {
 	g_autoptr(JsonBuilder) b = json_builder_new();
@@ -155,6 +221,11 @@
 	add_text(b, "request", line->request);
 	add_text(b, "step", line->step);
 	add_text(b, "peer", line->peer);
+	if (l->lost > l->lost_told) {
+		json_builder_set_member_name(b, "lost");
+		json_builder_add_int_value(b, (gint64)(l->lost - l->lost_told));
+		l->lost_told = l->lost;
+	}
 	if (line->suppressed > 0) {
 		json_builder_set_member_name(b, "suppressed");
 		json_builder_add_int_value(b, line->suppressed);
@@ -165,6 +236,10 @@
 	root = json_builder_get_root(b);
 	json_generator_set_root(generator, root);
 	text = json_generator_to_data(generator, NULL);
+	if (l->never_block) {
+		put_line(l, text);
+		return;
+	}
 	fprintf(l->out, "%s\n", text);
 	fflush(l->out);
 }
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -2,20 +2,22 @@
 #define NODE_NODE_H
 
 #include "ports.h"
+#include "process/metrics.h"
 #include "process/status.h"
 
 /*
- * node - one process of a cell that keeps its state in a store: takes jobs in, answers for them, and
- * is the scheduler if it holds the lease.
+ * node - one process of a cell that keeps its state in a store: takes jobs in, answers for them,
+ * and is the scheduler if it holds the lease.
  */
 struct node;
 
 struct node_conf {
 	const char *name; /* of the VM */
 	const char *dc;
-	const char *ip;	  /* links from other nodes are taken here */
+	const char *ip; /* links from other nodes are taken here */
 	uint16_t link_port;
 	struct scheduler_conf scheduler;
+	struct metrics *metrics; /* outlives the node */
 };
 
 struct node_ops {
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -1,4 +1,6 @@
+#include <fcntl.h>
 #include <string.h>
+#include <unistd.h>
 
 #define G_LOG_DOMAIN "tester"
 
@@ -158,3 +160,84 @@
 	log_debug(NULL, NULL, "unseen");
 	cr_expect_not(strstr(f.text, "unseen"));
 }
+
+/* Lines about requests differ by nature: they are bounded by kind, and what is left out is told. */
+Test(log, lines_about_requests_are_bounded_by_kind)
+{
+	struct fixture f;
+	int before;
+
+	setup(&f, "info");
+	for (int i = 0; i < 1000; i++) {
+		g_autofree char *id = g_strdup_printf("%d", i);
+		const GLogField fields[] = { { "MESSAGE", "accepted", -1 },
+					     { "KW_REQUEST", id, -1 },
+					     { "KW_STEP", "submit", -1 } };
+
+		log_write(f.log, LOG_INFO, fields, G_N_ELEMENTS(fields), 5000);
+	}
+	cr_expect_eq(lines(&f), LOG_KIND_MAX);
+	before = lines(&f);
+	for (int i = 0; i < 2; i++) {
+		const GLogField fields[] = { { "MESSAGE", "accepted", -1 },
+					     { "KW_REQUEST", "x", -1 },
+					     { "KW_STEP", "submit", -1 } };
+
+		log_write(f.log, LOG_INFO, fields, G_N_ELEMENTS(fields), 5000 + LOG_KIND_MS);
+	}
+	cr_expect_eq(lines(&f), before + 2);
+	cr_expect(strstr(f.text, "\"suppressed\":900"), "the next line tells how many");
+	teardown(&f);
+}
+
+/* A reader that stalls costs lines, never time; what is written stays whole lines. */
+Test(log, a_full_pipe_loses_lines_and_does_not_block)
+{
+	int fd[2];
+	FILE *out;
+	struct log *l;
+	char buf[65536];
+	ssize_t n;
+	size_t got = 0;
+	int starts = 0;
+	int ends = 0;
+
+	cr_assert_eq(pipe(fd), 0);
+	out = fdopen(fd[1], "w");
+	l = log_create("info", out);
+	log_never_block(l);
+	for (int i = 0; i < 20000; i++) {
+		g_autofree char *message = g_strdup_printf("line %d", i);
+		const GLogField fields[] = { { "MESSAGE", message, -1 } };
+
+		log_write(l, LOG_INFO, fields, G_N_ELEMENTS(fields), 5000);
+	}
+	cr_expect_gt(log_lost(l), 0);
+	fcntl(fd[0], F_SETFL, O_NONBLOCK);
+	while ((n = read(fd[0], buf, sizeof(buf))) > 0) {
+		got += (size_t)n;
+		for (ssize_t i = 0; i < n; i++) {
+			starts += buf[i] == '{';
+			ends += buf[i] == '\n';
+		}
+	}
+	cr_expect_gt(got, 0);
+	for (int i = 0; i < 2; i++) {
+		g_autofree char *message = g_strdup_printf("later %d", i);
+		const GLogField fields[] = { { "MESSAGE", message, -1 } };
+
+		log_write(l, LOG_INFO, fields, G_N_ELEMENTS(fields), 5000);
+	}
+	n = read(fd[0], buf, sizeof(buf) - 1);
+	cr_assert_gt(n, 0);
+	buf[n] = '\0';
+	cr_expect(strstr(buf, "\"lost\":"), "the next line tells how many: %s", buf);
+	for (ssize_t i = 0; i < n; i++) {
+		starts += buf[i] == '{';
+		ends += buf[i] == '\n';
+	}
+	cr_expect_eq(starts, ends, "every line that was begun is ended");
+	log_destroy(l);
+	fclose(out);
+	close(fd[0]);
+}
