Tasks that stand still are stopped and started elsewhere

Change: a run older than 800 ms without usage in looks 500 ms apart is stopped, avoids that runner for 4 s, and the runner gets no starts for 3 s. Gangs, fillers and tasks that last are left out, whose usage says something else. Test: tasks_that_stand_still, with the cases that must not be stopped.

--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -5,6 +5,9 @@
 #define FAULTS_MAX    2	    /* failures in a row after which a runner gets no work for a while */
 #define AVOID_MS      4000  /* a failed task goes elsewhere for that long */
 #define BAR_MIN_MS    2000  /* first pause of such a runner; doubles with each failure */
+#define HANG_AGE_MS	800   /* a task is at work by then: its usage is of the last 500 ms */
+#define HANG_IDLE_MS	500   /* without any usage, in looks that far apart */
+#define HANG_BAR_MS	3000  /* a runner whose tasks stand still gets no starts for that long */
 #define LOOK_ENDS_MAX 500   /* the platform lists at most that many ends in one answer */
 #define BAR_MAX_MS    16000 /* a runner that has recovered is tried within that time */
 
@@ -102,6 +105,36 @@
 	scheduler_mark(s, p);
 }
 
+/*
+ * A task that uses no processor stands still and would be waited for in vain. Members of a gang may
+ * wait for each other, fillers for room, and what the usage of a task that lasts tells is its tail.
+ */
+static bool stands_still(const struct scheduler *s, struct run *r, uint32_t usage)
+{
+	const Cell__Step *spec = plan_step_of(r->plan, r->task)->spec;
+
+	if (spec->gang || spec->filler || spec->lasting || spec->cpu_milli == 0 || r->stopping)
+		return false;
+	if (usage > 0 || s->now_ms - r->on_ms < HANG_AGE_MS) {
+		r->idle_since_ms = 0;
+		return false;
+	}
+	if (!r->idle_since_ms)
+		r->idle_since_ms = s->now_ms;
+	return s->now_ms - r->idle_since_ms >= HANG_IDLE_MS;
+}
+
+static void stop_hanging(struct scheduler *s, struct exec *e, struct run *r)
+{
+	struct plan_task *task = &r->plan->task[r->task];
+
+	task->avoid = e->handle + 1;
+	task->avoid_until_ms = s->now_ms + AVOID_MS;
+	e->barred_until_ms = MAX(e->barred_until_ms, s->now_ms + HANG_BAR_MS);
+	scheduler_tell_run(s, DECISION_HANGS, r);
+	scheduler_stop_run(s, r);
+}
+
 static void read_running(struct scheduler *s, struct exec *e, const struct look_running *row)
 {
 	struct run *r = scheduler_find_run(s, e->id, row->task, row->run);
@@ -119,6 +152,8 @@
 		plan_started(r->plan);
 	}
 	plan_checkpoint(r->plan, r->task, row->checkpoint);
+	if (stands_still(s, r, row->usage))
+		stop_hanging(s, e, r);
 }
 
 /* One that is being stopped may be in neither list until it has ended. */
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -112,6 +112,7 @@
 	DECISION_REFUSED,	/* a runner refused a start */
 	DECISION_UNANSWERED,	/* a start was not answered and is stopped */
 	DECISION_FAILED,	/* a run ended by a fault */
+	DECISION_HANGS,		/* a run stands still and is stopped */
 	DECISION_LOST,		/* a run ended without an end of its own */
 	DECISION_RUNNER_SILENT, /* a runner does not answer looks */
 	DECISION_RUNNER_BACK,
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -356,6 +356,7 @@
 	static const char *const words[] = { [DECISION_REFUSED] = "start refused",
 					     [DECISION_UNANSWERED] = "start not answered, stopped",
 					     [DECISION_FAILED] = "run failed",
+					     [DECISION_HANGS] = "run stands still, stopped",
 					     [DECISION_LOST] = "run lost" };
 	char task[TASK_NAME_BYTES];
 
@@ -384,6 +385,7 @@
 					     [DECISION_REFUSED] = "start_refused",
 					     [DECISION_UNANSWERED] = "start_unanswered",
 					     [DECISION_FAILED] = "run_failed",
+					     [DECISION_HANGS] = "run_hangs",
 					     [DECISION_LOST] = "run_lost",
 					     [DECISION_RUNNER_SILENT] = "runner_silent",
 					     [DECISION_RUNNER_BACK] = "runner_back",
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -606,3 +606,44 @@
 	cr_assert_eq(b->stop->len, 2);
 	bed_destroy(b);
 }
+
+struct hang_case {
+	const char *what;
+	uint32_t usage;
+	bool gang;
+	bool filler;
+	bool stopped;
+};
+
+/* Pattern: tasks on some worker stand still, with no end and no failure to tell of it. */
+Test(scheduler, tasks_that_stand_still)
+{
+	static const struct hang_case cases[] = {
+		{ "no usage", 0, false, false, true },
+		{ "some usage", 5, false, false, false },
+		{ "a gang may wait for its members", 0, true, false, false },
+		{ "a filler may wait for room", 0, false, true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct bed *b = plain_bed(1, 1000);
+		Cell__Job *job = bed_job(ID_A, "urgent", 1, 100);
+		const struct look_running row = { .task = ID_A ".0.0.0",
+						  .run = 1,
+						  .checkpoint = "",
+						  .usage = cases[i].usage };
+
+		job->step[0]->gang = cases[i].gang;
+		job->step[0]->filler = cases[i].filler;
+		bed_submit(b, job);
+		bed_pass(b, 1);
+		bed_ack(b);
+		bed_accept_all(b);
+		for (int k = 0; k < 20; k++) {
+			bed_pass(b, 100);
+			bed_look_answer(b, "r0", &row, 1, NULL, 0);
+		}
+		cr_expect_eq(b->stop->len > 0, cases[i].stopped, "%s", cases[i].what);
+		bed_destroy(b);
+	}
+}
