A ticket that is over is not sent

Change: a start whose ticket ends within the way to its runner goes back to the queue when its intent is written. Test: a_ticket_that_is_over_is_not_sent.

--- a/packages/cell/process/advice.c
+++ b/packages/cell/process/advice.c
@@ -70,6 +70,13 @@
 	return row->ticket;
 }
 
+int64_t advice_valid_until_ms(const struct advice *a, uint32_t handle)
+{
+	const struct row *row = a ? find(a, handle) : NULL;
+
+	return row ? row->valid_until_ms : 0;
+}
+
 void advice_approve(struct advice *a, uint32_t handle, const char *ticket, int64_t valid_until_ms)
 {
 	struct row *row = get(a, handle);
--- a/packages/cell/process/advice.h
+++ b/packages/cell/process/advice.h
@@ -29,6 +29,8 @@
 enum verdict advice_verdict(const struct advice *a, uint32_t handle);
 /* advice_ticket - NULL unless there is one that is valid at until_ms. */
 const char *advice_ticket(const struct advice *a, uint32_t handle, int64_t until_ms);
+/* advice_valid_until_ms - of the runner's ticket, 0 if there is none. */
+int64_t advice_valid_until_ms(const struct advice *a, uint32_t handle);
 void advice_approve(struct advice *a, uint32_t handle, const char *ticket, int64_t valid_until_ms);
 void advice_deny(struct advice *a, uint32_t handle);
 /* advice_spoil - the runner didn't take the ticket. */
--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -52,12 +52,13 @@
 	uint32_t no;
 	enum run_state state;
 	struct amount need;
-	uint64_t batch; /* of the intent */
-	char *ticket;	/* NULL for none */
+	uint64_t batch;		 /* of the intent */
+	char *ticket;		 /* NULL for none */
+	int64_t ticket_until_ms; /* it is not taken later */
 	int64_t planned_ms;
 	int64_t sent_ms;	  /* of the last order */
 	int64_t on_ms;		  /* when the runner is first known to have it */
-	int64_t idle_since_ms;	/* it uses no processor since, as far as was seen; 0 if it does */
+	int64_t idle_since_ms;	  /* it uses no processor since, as far as was seen; 0 if it does */
 	int64_t stop_sent_ms;	  /* of the last stop, 0 for none */
 	int64_t stop_answered_ms; /* the runner won't start it any more, from then on; 0 for none */
 	uint32_t orders;
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -173,8 +173,10 @@
 {
 	const char *ticket =
 		t->advised ? advice_ticket(t->step->advice, e->handle, pass->s->now_ms) : NULL;
+	struct run *r = scheduler_plan_run(pass->s, t->plan, task, e, ticket);
 
-	scheduler_plan_run(pass->s, t->plan, task, e, ticket);
+	if (ticket)
+		r->ticket_until_ms = advice_valid_until_ms(t->step->advice, e->handle);
 }
 
 static int by_free(gconstpointer a, gconstpointer b)
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -16,6 +16,7 @@
 #define ORDERS_MAX	  3    /* a start without an answer is sent that often, then stopped */
 #define RETRY_MS	  50   /* a task that was refused waits that long */
 #define ASK_RETRY_MS	  200  /* after the advisor did not answer */
+#define ORDER_WAY_MS	  60   /* of a start to its runner: two regions, and the node between */
 #define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
 #define SILENT_MISSES	  3    /* looks in a row without an answer; single ones get lost */
 #define IDLE_TICK_MS	  1000
@@ -652,6 +653,12 @@
 	}
 }
 
+/* With a slow store the intent may take longer than the ticket lasts. */
+static bool ticket_over(const struct scheduler *s, const struct run *r)
+{
+	return r->ticket && r->ticket_until_ms < s->now_ms + ORDER_WAY_MS;
+}
+
 void scheduler_written(struct scheduler *s, uint64_t batch, int64_t now_ms)
 {
 	s->now_ms = now_ms;
@@ -664,7 +671,7 @@
 		if (!r->batch || r->batch > batch)
 			continue;
 		g_ptr_array_remove_index_fast(s->planned, i - 1);
-		if (r->stopping || !scheduler_usable(s, r->exec))
+		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r))
 			start_refused(s, r, 0);
 		else
 			order_start(s, r);
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -164,3 +164,22 @@
 	cr_assert_str_eq(g_array_index(b->start, struct bed_start, 0).task, ID_B ".0.0.0");
 	bed_destroy(b);
 }
+
+/* Pattern: a store that is slow. A ticket that is over when the intent is in the log is not sent.
+ */
+Test(advice, a_ticket_that_is_over_is_not_sent)
+{
+	struct bed *b = advised_bed(1);
+
+	bed_submit(b, bed_job(ID_A, "quick", 1, 100));
+	bed_pass(b, 1);
+	bed_advise(b, "", 1000);
+	bed_pass(b, 1);
+	cr_assert_neq(b->batch, 0);
+	b->now_ms += 1200;
+	bed_ack(b);
+	cr_assert_eq(b->starts, 0);
+	cr_assert_null(bed_plan(b, ID_A)->task[0].live);
+	cr_assert_eq(b->asks, 2, "it is asked for again");
+	bed_destroy(b);
+}
