--- a/completions/knapweedwheel.bash
+++ b/completions/knapweedwheel.bash
@@ -7,7 +7,7 @@
 	cur=${COMP_WORDS[COMP_CWORD]}
 	prev=${COMP_WORDS[COMP_CWORD - 1]}
 	if ((COMP_CWORD == 1)); then
-		mapfile -t COMPREPLY < <(compgen -W "check publish submit status cancel explain drain \
+		mapfile -t COMPREPLY < <(compgen -W "check publish submit status cancel explain drain trace \
 			--help --version" -- "$cur")
 		return
 	fi
--- a/completions/knapweedwheeld.bash
+++ b/completions/knapweedwheeld.bash
@@ -6,6 +6,6 @@
 		mapfile -t COMPREPLY < <(compgen -f -- "$cur")
 		return
 	fi
-	mapfile -t COMPREPLY < <(compgen -W "--settings --check --version --help" -- "$cur")
+	mapfile -t COMPREPLY < <(compgen -W "--settings --platform --log-level --check --version --help" -- "$cur")
 }
 complete -F _knapweedwheeld knapweedwheeld
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -48,6 +48,8 @@
 
 	cr_assert(g_file_get_contents(PAGE, &page, NULL, NULL));
 	cr_expect_gt(check_folder(SOURCE_ROOT "/packages/daemon", page), 10);
+	cr_expect_gt(check_folder(SOURCE_ROOT "/packages/node", page), 4);
+	cr_expect_gt(check_folder(SOURCE_ROOT "/platform", page), 4);
 }
 
 static void check_links(const char *name)
