Weak VMs leave scheduling to others; passes are bounded

Change: a VM with less than a fifth of a core claims only if nobody else does for 1.5 s, and is not named as successor while there is another; a pass stops looking at a pool after 48 steps in a row without room; a long pass is followed by time for all else. Tests: weak_nodes_leave_it_to_others, a_weak_node_claims_if_nobody_else_does.

--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -7,6 +7,7 @@
 #define ASK_NAMES_MAX 100    /* runners in one question, the platform's bound */
 #define ASK_NAMES_MIN 8	     /* named even where naming costs more than deciding */
 #define ASK_LOAD_US   400000 /* outstanding calls of a helper; beyond it, answers come too late */
+#define BARREN_STEPS  48     /* in a row without room; of those after them few would find any */
 #define BLOCKED_GANGS 2	     /* gangs of a pool that keep room free while they wait */
 
 /* One placement pass over a pool of runners. */
@@ -14,6 +15,7 @@
 	const char *service;
 	GPtrArray *exec;
 	uint32_t blocked;
+	uint32_t barren; /* steps in a row for which there was no room */
 };
 
 struct pass {
@@ -175,6 +177,7 @@
 		t->advised ? advice_ticket(t->step->advice, e->handle, pass->s->now_ms) : NULL;
 	struct run *r = scheduler_plan_run(pass->s, t->plan, task, e, ticket);
 
+	t->pool->barren = 0;
 	if (ticket)
 		r->ticket_until_ms = advice_valid_until_ms(t->step->advice, e->handle);
 }
@@ -218,6 +221,7 @@
 	for (guint i = 0; i < exec->len; i++)
 		names[i] = ((const struct exec *)exec->pdata[i])->id;
 	plan_step_name(t->plan, t->step, step);
+	t->pool->barren = 0;
 	t->step->advice->asking = true;
 	t->step->advice->cost_us = cost_us;
 	s->asking_us += cost_us;
@@ -252,6 +256,7 @@
 	/* The verdicts on a gang's runners are worth knowing before there is room for it. */
 	if (!possible && !(first && t->step->spec->gang)) {
 		s->sums.steps_without_room++;
+		t->pool->barren++;
 		return;
 	}
 	if (a->retry_ms > s->now_ms || s->asking_us > (uint64_t)ASK_LOAD_US * MAX(s->helpers, 1)) {
@@ -323,6 +328,8 @@
 		possible = possible || (t->advised && choose(pass, t, task, NULL, false));
 	}
 	pass->s->sums.waiting_tasks += waiting;
+	if (waiting && !t->advised)
+		t->pool->barren++;
 	if (!waiting || !t->advised)
 		return;
 	ask(pass, t, possible);
@@ -401,7 +408,7 @@
 	struct target t = { .plan = p, .step = step, .queue = q };
 
 	t.pool = g_hash_table_lookup(pass->pool, q ? q->service : p->job->service);
-	if (!t.pool)
+	if (!t.pool || t.pool->barren >= BARREN_STEPS)
 		return;
 	t.need = scheduler_need(step->spec);
 	t.advised = q ? q->advised : p->job->advised;
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -26,6 +26,7 @@
 	struct link *link;
 	char *name;
 	char *dc;
+	bool weak;
 	uint64_t load_us; /* of the questions under way */
 };
 
@@ -48,6 +49,7 @@
 struct links {
 	char *self;
 	char *dc;
+	bool weak;
 	const struct links_ops *ops;
 	void *ctx;
 	GSocketService *service;
@@ -146,6 +148,7 @@
 		p->name = g_strdup(e->link_hello->node);
 		g_free(p->dc);
 		p->dc = g_strdup(e->link_hello->dc);
+		p->weak = e->link_hello->weak;
 		log_info("accept", p->name, "linked");
 		p->links->ops->peers(p->links->ctx, p->links->peer->len);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
@@ -249,6 +252,7 @@
 	m.node = l->self;
 	m.term = l->term;
 	m.dc = l->dc;
+	m.weak = l->weak;
 	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
 	e.link_hello = &m;
 	link_send(l->up, &e, 0);
@@ -463,15 +467,19 @@
 	return l->peer->len;
 }
 
-const char *links_any(const struct links *l)
+const char *links_successor(const struct links *l)
 {
+	const char *name = "";
+
 	for (guint i = 0; i < l->peer->len; i++) {
 		const struct peer *p = l->peer->pdata[i];
 
-		if (p->name)
+		if (p->name && !p->weak)
 			return p->name;
+		if (p->name)
+			name = p->name;
 	}
-	return "";
+	return name;
 }
 
 bool links_give(struct peer *p, const Kw__Envelope *e)
@@ -501,12 +509,14 @@
 	return G_SOURCE_CONTINUE;
 }
 
-struct links *links_create(const char *self, const char *dc, const struct links_ops *ops, void *ctx)
+struct links *links_create(const char *self, const char *dc, bool weak, const struct links_ops *ops,
+			   void *ctx)
 {
 	struct links *l = g_new0(struct links, 1);
 
 	l->self = g_strdup(self);
 	l->dc = g_strdup(dc);
+	l->weak = weak;
 	l->ops = ops;
 	l->ctx = ctx;
 	l->peer = g_ptr_array_new();
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -40,7 +40,7 @@
 	void (*peers)(void *ctx, uint32_t n);
 };
 
-struct links *links_create(const char *self, const char *dc, const struct links_ops *ops,
+struct links *links_create(const char *self, const char *dc, bool weak, const struct links_ops *ops,
 			   void *ctx);
 void links_destroy(struct links *l);
 /* links_listen - on ip and port; false with the reason in st. */
@@ -78,8 +78,11 @@
 struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank);
 /* links_count - nodes that are linked to this one. */
 uint32_t links_count(const struct links *l);
-/* links_any - name of some linked node, "" for none; valid until the loop runs. */
-const char *links_any(const struct links *l);
+/*
+ * links_successor - name of a linked node that may be the scheduler next, "" for none; valid until
+ * the loop runs.
+ */
+const char *links_successor(const struct links *l);
 /* links_give - false if the peer can't take it. */
 bool links_give(struct peer *p, const Kw__Envelope *e);
 /* links_reply - to the scheduler; dropped if the link is gone. */
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -39,6 +39,8 @@
 	int64_t renewed_ms;   /* when the last acknowledged renewal was sent */
 	int64_t retry_ms;
 	uint32_t spread_ms;
+	bool weak;
+	int64_t free_ms; /* since when there is no holder, 0 while there is one */
 };
 
 static void become(struct election *e, uint64_t term, int64_t sent_ms)
@@ -223,7 +225,7 @@
 	if (!e->caught_up || !e->answering_ms || e->closing)
 		return false;
 	if (!e->holder || holder_is_past(e))
-		return true;
+		return !e->weak || (e->free_ms && now - e->free_ms > ELECTION_WEAK_MS);
 	return now - since > ELECTION_LEASE_MS + e->spread_ms;
 }
 
@@ -241,6 +243,10 @@
 {
 	int64_t now = node_now_ms();
 
+	if (e->holder && !holder_is_past(e))
+		e->free_ms = 0;
+	else if (!e->free_ms)
+		e->free_ms = now;
 	if (e->appending || now < e->retry_ms)
 		return;
 	if (e->leading)
@@ -258,7 +264,7 @@
 }
 
 struct election *election_create(const struct store *store, const char *self, const char *address,
-				 const struct election_ops *ops, void *ctx)
+				 bool weak, const struct election_ops *ops, void *ctx)
 {
 	struct election *e = g_new0(struct election, 1);
 
@@ -267,7 +273,8 @@
 	e->address = g_strdup(address);
 	e->ops = ops;
 	e->ctx = ctx;
-	e->spread_ms = g_random_int_range(0, SPREAD_MS);
+	e->spread_ms = g_random_int_range(0, SPREAD_MS) + (weak ? ELECTION_WEAK_MS : 0);
+	e->weak = weak;
 	return e;
 }
 
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -26,9 +26,14 @@
 	void (*holder)(void *ctx, const char *address, uint64_t term);
 };
 
-/* election_create - self is NODE/START, so that restarts differ; address is for the others. */
+#define ELECTION_WEAK_MS 1500 /* a weak VM waits longer, so that others claim first */
+
+/*
+ * election_create - self is NODE/START, so that restarts differ; address is for the others. A weak
+ * node claims only if no other does within ELECTION_WEAK_MS.
+ */
 struct election *election_create(const struct store *store, const char *self, const char *address,
-				 const struct election_ops *ops, void *ctx);
+				 bool weak, const struct election_ops *ops, void *ctx);
 void election_destroy(struct election *e);
 /* election_start - from then on the loop calls election_tick() often enough. */
 void election_start(struct election *e);
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -12,6 +12,7 @@
 
 #define FORWARD_MS    1200 /* of a caller's time for the scheduler's answer; then we append */
 #define POKE_MS	      4	   /* what happens within it is decided together */
+#define REST_FACTOR   3	   /* a pass that took long is followed by that much time for all else */
 #define SUMS_EVERY_MS 2000 /* between log lines of what the scheduler has done */
 
 struct node {
@@ -32,6 +33,7 @@
 	GHashTable *asks; /* of struct ask by call */
 	guint timer;
 	int64_t timer_ms;
+	int64_t rest_until_ms; /* no pass before */
 	int64_t sums_ms;
 	guint down; /* idle source that steps down */
 	char *down_by;
@@ -74,6 +76,7 @@
 {
 	int64_t now = node_now_ms();
 
+	at_ms = MAX(at_ms, n->rest_until_ms);
 	if (!n->scheduler || (n->timer && n->timer_ms <= at_ms))
 		return;
 	if (n->timer)
@@ -127,12 +130,15 @@
 	struct node *n = data;
 	int64_t now = node_now_ms();
 	int64_t next;
+	int64_t took;
 
 	n->timer = 0;
 	if (!n->scheduler)
 		return G_SOURCE_REMOVE;
 	next = scheduler_tick(n->scheduler, now, node_wall_ms());
 	log_sums(n, now);
+	took = node_now_ms() - now;
+	n->rest_until_ms = now + took + REST_FACTOR * took;
 	arm(n, MAX(next, now + POKE_MS));
 	return G_SOURCE_REMOVE;
 }
@@ -380,17 +386,14 @@
 
 static void count_decision(struct node *n, const struct decision *d)
 {
-	static const char *const words[] = { [DECISION_JOB_ENDED] = "job_ended",
-					     [DECISION_FIRST_START] = "first_start",
-					     [DECISION_REFUSED] = "start_refused",
-					     [DECISION_UNANSWERED] = "start_unanswered",
-					     [DECISION_FAILED] = "run_failed",
-					     [DECISION_HANGS] = "run_hangs",
-					     [DECISION_LOST] = "run_lost",
-					     [DECISION_RUNNER_SILENT] = "runner_silent",
-					     [DECISION_RUNNER_BACK] = "runner_back",
-					     [DECISION_RUNNER_BARRED] = "runner_barred",
-					     [DECISION_RUNNER_BORN] = "runner_born" };
+	static const char *const words[] = {
+		[DECISION_JOB_ENDED] = "job_ended",	[DECISION_FIRST_START] = "first_start",
+		[DECISION_REFUSED] = "start_refused",	[DECISION_UNANSWERED] = "start_unanswered",
+		[DECISION_FAILED] = "run_failed",	[DECISION_HANGS] = "run_hangs",
+		[DECISION_LOST] = "run_lost",		[DECISION_RUNNER_SILENT] = "runner_silent",
+		[DECISION_RUNNER_BACK] = "runner_back", [DECISION_RUNNER_BARRED] = "runner_barred",
+		[DECISION_RUNNER_BORN] = "runner_born"
+	};
 	struct metrics *m = n->conf.metrics;
 	const char *queue = d->plan ? d->plan->job->queue : "";
 
@@ -641,11 +644,11 @@
 	n->ctx = ctx;
 	n->self = g_strdup_printf("%s/%" G_GINT64_FORMAT, conf->name, g_get_real_time());
 	n->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_free);
-	n->links = links_create(n->self, conf->dc, &links_ops, n);
+	n->links = links_create(n->self, conf->dc, conf->weak, &links_ops, n);
 	n->relay = relay_create(runners, n->links);
 	n->helper = helper_create(advisor, on_helped, n);
 	n->log = joblog_create(store, &joblog_ops, n);
-	n->election = election_create(store, n->self, address, &election_ops, n);
+	n->election = election_create(store, n->self, address, conf->weak, &election_ops, n);
 	return n;
 }
 
@@ -661,7 +664,7 @@
 void node_stop(struct node *n)
 {
 	n->stopping = true;
-	election_release(n->election, links_any(n->links));
+	election_release(n->election, links_successor(n->links));
 }
 
 bool node_stopped(const struct node *n)
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1688,7 +1688,7 @@
   (ProtobufCMessageInit) cell__lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[4] =
 {
   {
     "node",
@@ -1726,16 +1726,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weak",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LinkHello, weak),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__link_hello__field_indices_by_name[] = {
   2,   /* field[2] = dc */
   0,   /* field[0] = node */
   1,   /* field[1] = term */
+  3,   /* field[3] = weak */
 };
 static const ProtobufCIntRange cell__link_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cell__link_hello__descriptor =
 {
@@ -1745,7 +1758,7 @@
   "Cell__LinkHello",
   "cell",
   sizeof(Cell__LinkHello),
-  3,
+  4,
   cell__link_hello__field_descriptors,
   cell__link_hello__field_indices_by_name,
   1,  cell__link_hello__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -165,10 +165,14 @@
   char *node;
   uint64_t term;
   char *dc;
+  /*
+   * Its VM had better not be the scheduler.
+   */
+  protobuf_c_boolean weak;
 };
 #define CELL__LINK_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__link_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cell__StateAsk
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -12,6 +12,7 @@
 	char holder[32];
 	uint32_t won;
 	uint32_t lost;
+	bool weak;
 };
 
 static void on_won(void *ctx, uint64_t term)
@@ -43,7 +44,7 @@
 
 	v->client = fake_client_create(l);
 	store = fake_store(v->client);
-	v->election = election_create(&store, name, name, &ops, v);
+	v->election = election_create(&store, name, name, v->weak, &ops, v);
 }
 
 static void pass(struct fake_log *l, struct voter *v, int n, int64_t ms)
@@ -303,3 +304,30 @@
 	cr_assert_gt(v[1].term, 0, "without a renewal it is replaced soon");
 	end(l, v, 2);
 }
+
+/* Pattern: VMs of unlike strength. A weak one that schedules a large cell can't keep up. */
+Test(election, weak_nodes_leave_it_to_others)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { { .weak = true }, { 0 } };
+
+	voter_begin(&v[0], l, "weak");
+	voter_begin(&v[1], l, "strong");
+	pass(l, v, 2, 500);
+	cr_assert_eq(v[0].won, 0);
+	cr_assert_gt(v[1].term, 0);
+	end(l, v, 2);
+}
+
+Test(election, a_weak_node_claims_if_nobody_else_does)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[1] = { { .weak = true } };
+
+	voter_begin(&v[0], l, "weak");
+	pass(l, v, 1, 1000);
+	cr_assert_eq(v[0].won, 0);
+	pass(l, v, 1, 1000);
+	cr_assert_gt(v[0].term, 0);
+	end(l, v, 1);
+}
