--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -548,12 +548,11 @@
 		const struct sim_task *t = r->task->pdata[i];
 
 		if (!t->stopping)
-			running[c->look.n_running++] = (struct look_running){
-				.task = keep(c, t->name),
-				.run = t->run,
-				.checkpoint = "",
-				.usage = (uint32_t)t->cpu_milli
-			};
+			running[c->look.n_running++] =
+				(struct look_running){ .task = keep(c, t->name),
+						       .run = t->run,
+						       .checkpoint = "",
+						       .usage = (uint32_t)t->cpu_milli };
 	}
 	for (guint i = 0; i < r->end->len; i++) {
 		const struct sim_end *e = r->end->pdata[i];
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -628,10 +628,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct bed *b = plain_bed(1, 1000);
 		Cell__Job *job = bed_job(ID_A, "urgent", 1, 100);
-		const struct look_running row = { .task = ID_A ".0.0.0",
-						  .run = 1,
-						  .checkpoint = "",
-						  .usage = cases[i].usage };
+		const struct look_running row = {
+			.task = ID_A ".0.0.0", .run = 1, .checkpoint = "", .usage = cases[i].usage
+		};
 
 		job->step[0]->gang = cases[i].gang;
 		job->step[0]->filler = cases[i].filler;
--- /dev/null
+++ b/tests/node/test_links.c
@@ -0,0 +1,421 @@
+#include <criterion/criterion.h>
+
+#include "connection/links.h"
+#include "fakestore.h"
+#include "process/helper.h"
+#include "process/relay.h"
+
+/*
+ * Links and the relay over loopback: one node schedules, another carries its orders out. Loops run
+ * until something has happened; fake_now_ms stands still unless a test moves it.
+ */
+#define PORT	   24711
+#define ROUNDS_MAX 20000 /* of the loop; far more than anything here takes */
+
+struct end {
+	struct links *links;
+	struct relay *relay;
+	uint32_t peers;
+	uint32_t asked;
+	uint32_t advised;
+	uint32_t appended;
+	bool answered;
+	bool silent; /* orders are not carried out */
+	char ticket[16];
+};
+
+static bool on_state(void *ctx, const char *id, enum job_state *state)
+{
+	*state = JOB_DONE;
+	return g_str_equal(id, "known");
+}
+
+static void on_ask(void *ctx, uint64_t call, const char *step, const char *const *runner, size_t n)
+{
+	struct end *e = ctx;
+	const struct ticket t = { .runner = runner[0], .ticket = "paper" };
+
+	e->asked++;
+	if (!e->silent)
+		links_advised(e->links, call, true, &t, 1, 2000);
+}
+
+static void on_advised(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
+		       size_t n, uint32_t validity_ms)
+{
+	struct end *e = ctx;
+
+	e->advised++;
+	e->answered = answered;
+	if (n)
+		g_strlcpy(e->ticket, ticket[0].ticket, sizeof(e->ticket));
+}
+
+static void on_append(void *ctx, struct peer *p, const Cell__AppendAsk *ask)
+{
+	struct end *e = ctx;
+
+	e->appended++;
+	links_appended(e->links, p, ask->call, g_str_equal(ask->key, "good"));
+}
+
+static void on_order(void *ctx, const Kw__Envelope *m)
+{
+	struct end *e = ctx;
+
+	if (!e->silent)
+		relay_order(e->relay, m);
+}
+
+static void on_replied(void *ctx, const Kw__Envelope *m)
+{
+	relay_replied(((struct end *)ctx)->relay, m);
+}
+
+static void on_peer_lost(void *ctx, const struct peer *p)
+{
+	relay_peer_lost(((struct end *)ctx)->relay, p);
+}
+
+static void on_refused(void *ctx)
+{
+}
+
+static void on_peers(void *ctx, uint32_t n)
+{
+	((struct end *)ctx)->peers = n;
+}
+
+static const struct links_ops ops = {
+	.state = on_state,
+	.ask = on_ask,
+	.advised = on_advised,
+	.append = on_append,
+	.order = on_order,
+	.replied = on_replied,
+	.peer_lost = on_peer_lost,
+	.refused = on_refused,
+	.peers = on_peers,
+};
+
+/* A runner that does what it is told at once. */
+static void do_start(void *impl, const struct start_order *o, uint64_t term, started_fn fn,
+		     void *ctx)
+{
+	bool whole = g_str_equal(o->runner, "r") && g_str_equal(o->task, "t") && o->run == 3 &&
+		     g_str_equal(o->payload, "p") && !o->ticket &&
+		     g_strcmp0(o->checkpoint, "c") == 0 && o->deadline_ms == 77 && term == 9;
+
+	fn(ctx, whole ? START_OK : START_REFUSED);
+}
+
+static void do_stop(void *impl, const char *runner, const char *address, const char *task,
+		    uint32_t run, uint64_t term, stopped_fn fn, void *ctx)
+{
+	fn(ctx, true);
+}
+
+static void do_look(void *impl, const struct look_order *o, uint64_t term, looked_fn fn, void *ctx)
+{
+	const struct look_running running = {
+		.task = "t", .run = 3, .checkpoint = "c", .usage = 5
+	};
+	const struct look_ended ended = {
+		.no = 4, .task = "u", .run = 1, .end = END_FAILED, .checkpoint = ""
+	};
+	const struct look look = { .born_ms = 11,
+				   .clock_ms = 12,
+				   .running = &running,
+				   .n_running = 1,
+				   .ended = &ended,
+				   .n_ended = 1 };
+
+	fn(ctx, o->seen == 2 ? &look : NULL);
+}
+
+static const struct runner_ops runner_ops = {
+	.start = do_start,
+	.stop = do_stop,
+	.look = do_look,
+};
+
+static void end_open(struct end *e, const char *name)
+{
+	const struct runners runners = { .ops = &runner_ops };
+
+	e->links = links_create(name, "dc", false, &ops, e);
+	e->relay = relay_create(&runners, e->links);
+}
+
+static void end_close(struct end *e)
+{
+	links_destroy(e->links);
+	relay_destroy(e->relay);
+}
+
+static void run_until(const uint32_t *what, uint32_t least)
+{
+	for (int i = 0; i < ROUNDS_MAX && *what < least; i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	cr_assert_geq(*what, least);
+}
+
+/* a schedules, b is linked to it. */
+static void pair(struct end *a, struct end *b, uint16_t port)
+{
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%u", port);
+	struct status st = STATUS_INIT;
+
+	end_open(a, "a");
+	end_open(b, "b");
+	cr_assert(links_listen(a->links, "127.0.0.1", port, &st), "%s", st.message);
+	links_follow(b->links, address, 9);
+	run_until(&a->peers, 1);
+	for (int i = 0; i < ROUNDS_MAX && !*links_successor(a->links); i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	cr_assert_str_eq(links_successor(a->links), "b");
+}
+
+struct told {
+	uint32_t n;
+	bool known;
+	enum job_state state;
+	enum start_result started;
+	bool looked;
+	bool stored;
+};
+
+static void on_told(void *ctx, bool known, enum job_state state)
+{
+	struct told *t = ctx;
+
+	t->n++;
+	t->known = known;
+	t->state = state;
+}
+
+static void on_stored(void *ctx, bool stored)
+{
+	struct told *t = ctx;
+
+	t->n++;
+	t->stored = stored;
+}
+
+static void on_started(void *ctx, enum start_result result)
+{
+	struct told *t = ctx;
+
+	t->n++;
+	t->started = result;
+}
+
+static void on_looked(void *ctx, const struct look *look)
+{
+	struct told *t = ctx;
+
+	t->n++;
+	t->looked = look && look->born_ms == 11 && look->clock_ms == 12 && look->n_running == 1 &&
+		    look->running[0].usage == 5 && look->n_ended == 1 && look->ended[0].no == 4 &&
+		    look->ended[0].end == END_FAILED;
+}
+
+static const struct start_order order = { .route = { .dc = "dc" },
+					  .runner = "r",
+					  .address = "x:1",
+					  .task = "t",
+					  .payload = "p",
+					  .checkpoint = "c",
+					  .run = 3,
+					  .deadline_ms = 77,
+					  .timeout_ms = 200 };
+
+Test(links, states_and_records)
+{
+	struct end a = { 0 };
+	struct end b = { 0 };
+	struct told t = { 0 };
+
+	pair(&a, &b, PORT);
+	cr_assert(links_ask_state(b.links, "known", on_told, &t));
+	run_until(&t.n, 1);
+	cr_assert(t.known);
+	cr_assert_eq(t.state, JOB_DONE);
+	cr_assert(links_ask_state(b.links, "unknown", on_told, &t));
+	run_until(&t.n, 2);
+	cr_assert_not(t.known);
+	cr_assert(links_ask_append(b.links, "good", (const uint8_t *)"x", 1, 500, on_stored, &t));
+	run_until(&t.n, 3);
+	cr_assert(t.stored);
+	cr_assert(links_ask_append(b.links, "bad", (const uint8_t *)"x", 1, 500, on_stored, &t));
+	run_until(&t.n, 4);
+	cr_assert_not(t.stored);
+	cr_assert_not(links_ask_state(a.links, "known", on_told, &t), "a has no scheduler to ask");
+	end_close(&b);
+	end_close(&a);
+}
+
+Test(links, a_lost_link_answers_what_waits)
+{
+	struct end a = { 0 };
+	struct end b = { 0 };
+	struct told t = { 0 };
+
+	pair(&a, &b, PORT + 1);
+	cr_assert(links_ask_append(b.links, "good", (const uint8_t *)"x", 1, 500, on_stored, &t));
+	end_close(&a);
+	run_until(&t.n, 1);
+	end_close(&b);
+}
+
+Test(links, advice_goes_to_the_node_and_back)
+{
+	const char *const names[] = { "r1", "r2" };
+	struct end a = { 0 };
+	struct end b = { 0 };
+
+	pair(&a, &b, PORT + 2);
+	cr_assert(links_ask_advice(a.links, 1, "s", names, 2, 1000, 5000));
+	run_until(&a.advised, 1);
+	cr_assert(a.answered);
+	cr_assert_str_eq(a.ticket, "paper");
+	cr_assert_not(links_ask_advice(a.links, 2, "s", names, 2, 1000, 0),
+		      "with less to do than the node, one asks by oneself");
+	end_close(&b);
+	end_close(&a);
+}
+
+Test(links, advice_of_a_lost_node_counts_as_not_answered)
+{
+	const char *const names[] = { "r1" };
+	struct end a = { 0 };
+	struct end b = { .silent = true };
+
+	pair(&a, &b, PORT + 3);
+	cr_assert(links_ask_advice(a.links, 1, "s", names, 1, 1000, 5000));
+	run_until(&b.asked, 1);
+	end_close(&b);
+	run_until(&a.advised, 1);
+	cr_assert_not(a.answered);
+	end_close(&a);
+}
+
+Test(relay, orders_are_carried_out_by_the_node)
+{
+	const struct look_order look = { .route = { .dc = "dc" },
+					 .runner = "r",
+					 .address = "x:1",
+					 .seen = 2,
+					 .timeout_ms = 200 };
+	struct end a = { 0 };
+	struct end b = { 0 };
+	struct told t = { 0 };
+
+	pair(&a, &b, PORT + 4);
+	relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+	cr_assert_eq(t.n, 0, "it goes over the link");
+	run_until(&t.n, 1);
+	cr_assert_eq(t.started, START_OK);
+	relay_look(a.relay, "dc", 0, &look, 9, on_looked, &t);
+	run_until(&t.n, 2);
+	cr_assert(t.looked);
+	end_close(&b);
+	end_close(&a);
+}
+
+Test(relay, without_a_node_the_scheduler_does_it)
+{
+	struct end a = { 0 };
+	struct told t = { 0 };
+
+	end_open(&a, "a");
+	relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+	cr_assert_eq(t.n, 1);
+	cr_assert_eq(t.started, START_OK);
+	end_close(&a);
+}
+
+struct silence_case {
+	const char *what;
+	bool lost; /* the link, else only the answer */
+};
+
+/* Whether the node has done it can't be known. */
+Test(relay, without_an_answer_the_outcome_is_unknown)
+{
+	static const struct silence_case cases[] = { { "no answer", false },
+						     { "lost link", true } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct end a = { 0 };
+		struct end b = { .silent = true };
+		struct told t = { 0 };
+
+		pair(&a, &b, (uint16_t)(PORT + 5 + i));
+		relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+		if (cases[i].lost)
+			end_close(&b);
+		else
+			fake_now_ms += 1000;
+		run_until(&t.n, 1);
+		cr_expect_eq(t.started, START_UNKNOWN, "%s", cases[i].what);
+		if (!cases[i].lost)
+			end_close(&b);
+		end_close(&a);
+	}
+}
+
+struct asked {
+	uint32_t n;
+	uint64_t last;
+	advised_fn fn;
+	void *ctx;
+	uint32_t under_way;
+};
+
+static void hold_question(void *impl, const char *step, const char *const *runner, size_t n,
+			  advised_fn fn, void *ctx)
+{
+	struct asked *a = impl;
+
+	a->under_way++;
+	a->fn = fn;
+	a->ctx = ctx;
+}
+
+static const struct advisor_ops advisor_ops = { .ask = hold_question };
+
+static void on_helped(void *ctx, uint64_t call, bool remote, bool answered,
+		      const struct ticket *ticket, size_t n, uint32_t validity_ms)
+{
+	struct asked *a = ctx;
+
+	a->n++;
+	a->last = call;
+}
+
+/* The advisor serves one call of a VM at a time; those of an older scheduler are dropped unsent. */
+Test(helper, one_question_at_a_time)
+{
+	const char *const names[] = { "r" };
+	struct asked a = { 0 };
+	const struct advisor advisor = { .ops = &advisor_ops, .impl = &a };
+	struct helper *h = helper_create(&advisor, on_helped, &a);
+
+	for (uint64_t call = 1; call <= 3; call++)
+		helper_ask(h, call, true, "s", names, 1, 100);
+	cr_assert_eq(a.under_way, 1);
+	cr_assert_eq(helper_load_us(h), 300);
+	a.fn(a.ctx, true, NULL, 0, 0);
+	cr_assert_eq(a.last, 1);
+	cr_assert_eq(a.under_way, 2);
+	helper_clear(h, true);
+	cr_assert_eq(helper_load_us(h), 100);
+	a.fn(a.ctx, true, NULL, 0, 0);
+	cr_assert_eq(a.n, 2, "the third was never sent");
+	helper_destroy(h);
+}
