Tasks that fill and tasks that serve stay on different runners

Cause: fillers disturb the tail of serving tasks, and pacing them is not built; on a deployment with both the bound on the tail would be broken with nothing done about it. Change: a filler is not placed beside a task with a bound on its tail, nor the other way round. Test: fillers_and_serving_tasks_stay_apart.

--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -118,8 +118,30 @@
 	return !t->advised || advice_verdict(t->step->advice, e->handle) != VERDICT_DENIED;
 }
 
+/*
+ * Tasks that fill disturb tasks that serve with a bound on their response times, by amounts that
+ * nobody knows beforehand; they are kept on different runners.
+ */
+static bool disturbs(const struct target *t, const struct exec *e)
+{
+	const Cell__Step *spec = t->step->spec;
+
+	if (!spec->filler && !spec->tail_target_ms)
+		return false;
+	for (guint i = 0; i < e->run->len; i++) {
+		const struct run *r = e->run->pdata[i];
+		const Cell__Step *other = plan_step_of(r->plan, r->task)->spec;
+
+		if (spec->filler ? other->tail_target_ms > 0 : other->filler)
+			return true;
+	}
+	return false;
+}
+
 static bool has_room(const struct target *t, const struct exec *e)
 {
+	if (disturbs(t, e))
+		return false;
 	if (!yield_fits(e, &t->need, t->yield))
 		return false;
 	return !t->step->spec->spread_max || on_runner(e, t) < t->step->spec->spread_max;
--- a/tests/cell/test_yield.c
+++ b/tests/cell/test_yield.c
@@ -82,3 +82,41 @@
 	cr_assert_eq(b->starts, 10);
 	bed_destroy(b);
 }
+
+struct neighbour_case {
+	const char *what;
+	bool first_fills;
+	bool second_fills;
+	uint32_t first_target_ms;
+	uint32_t second_target_ms;
+	uint32_t starts; /* of the two on one runner */
+};
+
+/* Pattern: serving tasks with a bound on their tail, beside tasks that fill what is left. */
+Test(yield, fillers_and_serving_tasks_stay_apart)
+{
+	static const struct neighbour_case cases[] = {
+		{ "a filler beside a serving task", false, true, 50, 0, 1 },
+		{ "a serving task beside a filler", true, false, 0, 50, 1 },
+		{ "two fillers", true, true, 0, 0, 2 },
+		{ "two serving tasks", false, false, 50, 50, 2 },
+		{ "a filler beside any other task", false, true, 0, 0, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct bed *b = mixed_bed();
+		Cell__Job *first = bed_job(ID_A, "urgent", 1, 100);
+		Cell__Job *second = bed_job(ID_B, "urgent", 1, 100);
+
+		first->step[0]->filler = cases[i].first_fills;
+		first->step[0]->tail_target_ms = cases[i].first_target_ms;
+		second->step[0]->filler = cases[i].second_fills;
+		second->step[0]->tail_target_ms = cases[i].second_target_ms;
+		bed_submit(b, first);
+		bed_submit(b, second);
+		bed_pass(b, 1);
+		bed_ack(b);
+		cr_expect_eq(b->starts, cases[i].starts, "%s", cases[i].what);
+		bed_destroy(b);
+	}
+}
