'Refused' is said only if neither the scheduler nor this node can have stored the job

Change: the scheduler says stored, refused or nothing; a refusal after nothing is told as unknown (504). Appends are given up after four times what they took lately and tried again, three times for a caller's record, since a repeat is harmless; intake has a module of its own now, taken out of node.c. Test: refused_is_said_only_if_nothing_can_be_stored, seen to fail without the change; links tell the three answers apart.

--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -186,15 +186,23 @@
 	return TRUE;
 }
 
-static void finish_state(struct links *l, guint i, bool known, enum job_state state)
+static struct state_call take_call(struct links *l, guint i)
 {
 	struct state_call c = g_array_index(l->state_call, struct state_call, i);
 
 	g_array_remove_index_fast(l->state_call, i);
+	return c;
+}
+
+/* No answer came, or none will. */
+static void finish_lost(struct links *l, guint i)
+{
+	struct state_call c = take_call(l, i);
+
 	if (c.stored)
-		c.stored(c.ctx, known);
+		c.stored(c.ctx, STORE_UNKNOWN);
 	else
-		c.fn(c.ctx, known, state);
+		c.fn(c.ctx, false, JOB_QUEUED);
 }
 
 static void close_up(struct links *l)
@@ -204,17 +212,39 @@
 	l->up = NULL;
 	link_destroy(up);
 	while (l->state_call->len)
-		finish_state(l, l->state_call->len - 1, false, JOB_QUEUED);
+		finish_lost(l, l->state_call->len - 1);
 }
 
-static void take_answer(struct links *l, uint64_t call, bool known, enum job_state state)
+static bool find_call(const struct links *l, uint64_t call, guint *i)
 {
-	for (guint i = 0; i < l->state_call->len; i++) {
-		if (g_array_index(l->state_call, struct state_call, i).call != call)
-			continue;
-		finish_state(l, i, known, state);
+	for (*i = 0; *i < l->state_call->len; (*i)++)
+		if (g_array_index(l->state_call, struct state_call, *i).call == call)
+			return true;
+	return false;
+}
+
+static void take_state(struct links *l, const Cell__StateReply *m)
+{
+	struct state_call c;
+	guint i;
+
+	if (!find_call(l, m->call, &i))
 		return;
-	}
+	c = take_call(l, i);
+	if (c.fn)
+		c.fn(c.ctx, m->known, (enum job_state)m->state);
+}
+
+static void take_stored(struct links *l, const Cell__AppendReply *m)
+{
+	struct state_call c;
+	guint i;
+
+	if (!find_call(l, m->call, &i))
+		return;
+	c = take_call(l, i);
+	if (c.stored)
+		c.stored(c.ctx, m->stored ? STORE_OK : m->refused ? STORE_REFUSED : STORE_UNKNOWN);
 }
 
 static void on_up_message(void *ctx, struct link *link, const Kw__Envelope *e, uint32_t size)
@@ -222,10 +252,9 @@
 	struct links *l = ctx;
 
 	if (e->body_case == KW__ENVELOPE__BODY_STATE_REPLY)
-		take_answer(l, e->state_reply->call, e->state_reply->known,
-			    (enum job_state)e->state_reply->state);
+		take_state(l, e->state_reply);
 	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_REPLY)
-		take_answer(l, e->append_reply->call, e->append_reply->stored, JOB_QUEUED);
+		take_stored(l, e->append_reply);
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
 		l->ops->ask(l->ctx, e->advice_ask->call, e->advice_ask->step,
 			    (const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
@@ -355,7 +384,7 @@
 	return true;
 }
 
-void links_appended(struct links *l, const struct peer *p, uint64_t call, bool stored)
+void links_appended(struct links *l, const struct peer *p, uint64_t call, enum store_result result)
 {
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
@@ -364,7 +393,8 @@
 	if (!g_ptr_array_find(l->peer, p, &i))
 		return;
 	m.call = call;
-	m.stored = stored;
+	m.stored = result == STORE_OK;
+	m.refused = result == STORE_REFUSED;
 	e.body_case = KW__ENVELOPE__BODY_APPEND_REPLY;
 	e.append_reply = &m;
 	link_send(p->link, &e, 0);
@@ -503,7 +533,7 @@
 			answer_advice(l, i - 1, false, NULL, 0, 0);
 	for (guint i = l->state_call->len; i > 0; i--)
 		if (g_array_index(l->state_call, struct state_call, i - 1).until_ms <= now)
-			finish_state(l, i - 1, false, JOB_QUEUED);
+			finish_lost(l, i - 1);
 	if (!l->up && !l->dialling && l->address && *l->address && l->dial_ms <= now)
 		dial(l);
 	return G_SOURCE_CONTINUE;
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -49,8 +49,8 @@
 void links_follow(struct links *l, const char *address, uint64_t term);
 /* links_lead - drops the nodes that are linked and are not asked any more, when lead is false. */
 void links_lead(struct links *l, bool lead);
-/* stored is false if the scheduler did not say that the record is in the log. */
-typedef void (*stored_fn)(void *ctx, bool stored);
+/* STORE_OK, STORE_REFUSED, or STORE_UNKNOWN if the scheduler did not say. */
+typedef void (*stored_fn)(void *ctx, enum store_result result);
 /*
  * links_ask_append - asks the scheduler to append a record; false if there is no link; else fn is
  * called, at the latest after within_ms.
@@ -58,7 +58,7 @@
 bool links_ask_append(struct links *l, const char *key, const uint8_t *value, size_t size,
 		      uint32_t within_ms, stored_fn fn, void *ctx);
 /* links_appended - answer to a peer; p may be gone since. */
-void links_appended(struct links *l, const struct peer *p, uint64_t call, bool stored);
+void links_appended(struct links *l, const struct peer *p, uint64_t call, enum store_result result);
 /* links_ask_state - false if there is no link; else fn is called, at the latest at the time-out. */
 bool links_ask_state(struct links *l, const char *id, state_fn fn, void *ctx);
 /*
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -5,17 +5,21 @@
 #include "joblog.h"
 #include "log.h"
 
-#define TOPIC		  "keyed.jobs"
-#define PRODUCER	  "scheduler"
-#define PARTS		  2
-#define FOLLOW_MS	  1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_READ_MS	  300  /* between reads of the scheduler: most jobs come by way of it */
-#define RETRY_MS	  80   /* after a refusal or no answer */
-#define APPEND_TIMEOUT_MS 1400 /* half of the time that callers have; a slow store takes 0.6 s */
-#define REFUSALS_MAX	  3    /* then callers do better with another node */
-#define AWAY_MISSES	  2    /* calls in a row without an answer: the store is away */
-#define TICK_MS		  20
-#define CALL_BYTES_MAX	  262144 /* of an append; far below the platform's limit of a call */
+#define TOPIC	     "keyed.jobs"
+#define PRODUCER     "scheduler"
+#define PARTS	     2
+#define FOLLOW_MS    1000 /* between reads of a follower; waiting counts may be 2 s old */
+#define LEAD_READ_MS 300  /* between reads of the scheduler: most jobs come by way of it */
+#define RETRY_MS     80	  /* after a refusal or no answer */
+#define APPEND_MIN_MS                                                                              \
+	250		    /* an append takes 6 to 30 ms; it may be sent again, so little is lost \
+			     */
+#define APPEND_MAX_MS  1400 /* half of the time that callers have; a slow store takes 0.6 s */
+#define APPEND_FACTOR  4    /* of the time that appends took lately */
+#define TRIES_MAX      3    /* of a record of a caller, who does better with another node then */
+#define AWAY_MISSES    2    /* calls in a row without an answer: the store is away */
+#define TICK_MS	       20
+#define CALL_BYTES_MAX 262144 /* of an append; far below the platform's limit of a call */
 
 struct pending {
 	char *key;
@@ -23,7 +27,7 @@
 	size_t size;
 	int64_t until_ms;
 	bool in_doubt; /* some try had no answer */
-	uint32_t refusals;
+	uint32_t tries;
 	done_fn fn;
 	void *ctx;
 };
@@ -59,7 +63,8 @@
 	bool leading;
 	bool fencing;
 	bool loaded;
-	uint32_t misses; /* calls in a row that the store did not serve */
+	uint32_t misses;   /* calls in a row that the store did not serve */
+	int64_t append_ms; /* what appends took lately; doubled by each without an answer */
 	uint64_t term;
 	uint64_t seq;
 	done_fn lead_fn;
@@ -67,6 +72,7 @@
 	/* Appends of the jobs' partition. */
 	GQueue queue; /* of struct pending */
 	GPtrArray *sent;
+	int64_t sent_ms;
 	int64_t append_due_ms;
 	/* Progress. */
 	GPtrArray *batch;
@@ -81,6 +87,7 @@
 	struct joblog *log;
 	uint64_t term;
 	uint64_t batch;
+	int64_t sent_ms;
 };
 
 struct read_call {
@@ -279,12 +286,27 @@
 		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next, 0, on_page, call);
 }
 
+/* A slow store is given time; one that loses answers is soon asked again. */
+static uint32_t append_timeout(const struct joblog *j)
+{
+	return (uint32_t)CLAMP(j->append_ms * APPEND_FACTOR, APPEND_MIN_MS, APPEND_MAX_MS);
+}
+
+static void note_append(struct joblog *j, enum store_result result, int64_t took_ms)
+{
+	if (result == STORE_UNKNOWN)
+		j->append_ms = MIN(MAX(j->append_ms, APPEND_MIN_MS / APPEND_FACTOR) * 2,
+				   APPEND_MAX_MS / APPEND_FACTOR);
+	else
+		j->append_ms = (j->append_ms * 3 + took_ms) / 4;
+}
+
 static void send_appends(struct joblog *j);
 
 /* Whether another try is better than telling the caller, who can ask another node. */
 static bool worth_a_try(const struct joblog *j, const struct pending *p, int64_t now)
 {
-	if (p->in_doubt || joblog_away(j) || p->refusals >= REFUSALS_MAX)
+	if (joblog_away(j) || p->tries >= TRIES_MAX)
 		return false;
 	return now + RETRY_MS < p->until_ms;
 }
@@ -306,12 +328,13 @@
 
 	j->sent = NULL;
 	note_answer(j, result);
+	note_append(j, result, now - j->sent_ms);
 	skip_own(j, result, offset, sent->len);
 	for (guint i = sent->len; i > 0; i--) {
 		struct pending *p = sent->pdata[i - 1];
 
 		p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
-		p->refusals += result == STORE_REFUSED;
+		p->tries++;
 		if (result == STORE_OK) {
 			if (j->leading)
 				book_apply(j->book, p->key, p->value, p->size);
@@ -345,7 +368,7 @@
 	g_autoptr(GPtrArray) records = NULL;
 	struct append_terms terms = { 0 };
 	int64_t now = node_now_ms();
-	int64_t timeout = APPEND_TIMEOUT_MS;
+	int64_t timeout = append_timeout(j);
 	size_t bytes = 0;
 
 	if (j->sent || j->append_due_ms > now)
@@ -367,6 +390,7 @@
 		g_ptr_array_add(records, rec);
 		g_ptr_array_add(j->sent, p);
 	}
+	j->sent_ms = now;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_JOBS, records, &terms, (uint32_t)timeout,
 			     on_jobs_appended, j);
 }
@@ -419,6 +443,7 @@
 	uint64_t batch = call->batch;
 	bool current = j->leading && call->term == j->term && j->batch && j->batch_no == batch;
 
+	note_append(j, result, node_now_ms() - call->sent_ms);
 	g_free(call);
 	if (!current)
 		return;
@@ -442,10 +467,12 @@
 	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term, .seq = j->seq };
 	struct batch_call *call = g_new(struct batch_call, 1);
 
-	*call = (struct batch_call){ .log = j, .term = j->term, .batch = j->batch_no };
+	*call = (struct batch_call){
+		.log = j, .term = j->term, .batch = j->batch_no, .sent_ms = node_now_ms()
+	};
 	j->batch_sent = true;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, j->batch, &terms,
-			     APPEND_TIMEOUT_MS, on_batch_appended, call);
+			     append_timeout(j), on_batch_appended, call);
 }
 
 void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
@@ -472,7 +499,7 @@
 
 void joblog_drop(struct joblog *j, const char *id)
 {
-	int64_t until_ms = node_now_ms() + APPEND_TIMEOUT_MS;
+	int64_t until_ms = node_now_ms() + APPEND_MAX_MS;
 	g_autofree char *cancel = g_strdup_printf("%s/c", id);
 
 	g_ptr_array_add(j->drops, g_strdup_printf("%s/p", id));
@@ -520,7 +547,7 @@
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
 
 	j->batch_due_ms = INT64_MAX;
-	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, none, &terms, APPEND_TIMEOUT_MS,
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, none, &terms, APPEND_MAX_MS,
 			     on_fenced, j);
 }
 
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -10,7 +10,6 @@
 #include "node.h"
 #include "relay.h"
 
-#define FORWARD_MS    1200 /* of a caller's time for the scheduler's answer; then we append */
 #define POKE_MS	      4	   /* what happens within it is decided together */
 #define REST_FACTOR   3	   /* a pass that took long is followed by that much time for all else */
 #define SUMS_EVERY_MS 2000 /* between log lines of what the scheduler has done */
@@ -26,6 +25,7 @@
 	struct links *links;
 	struct helper *helper;
 	struct relay *relay;
+	struct intake *intake;
 	struct queues *queues;
 	struct scheduler *scheduler;
 	uint64_t term;
@@ -395,19 +395,21 @@
 		[DECISION_RUNNER_BORN] = "runner_born"
 	};
 	struct metrics *m = n->conf.metrics;
-	const char *queue = d->plan ? d->plan->job->queue : "";
 
 	metrics_counter(m, "kw_decisions_total", "Decisions of the scheduler by kind.", "kind",
 			words[d->kind], NULL)
 		->value++;
+	if (!d->plan)
+		return;
 	if (d->kind == DECISION_JOB_ENDED)
 		hist_add(metrics_hist(m, "kw_job_ms", "Time from acceptance to the end of a job.",
-				      "queue", queue, "state", state_word(d->plan->state), NULL),
+				      "queue", d->plan->job->queue, "state",
+				      state_word(d->plan->state), NULL),
 			 (uint64_t)MAX(d->age_ms, 0));
 	else if (d->kind == DECISION_FIRST_START)
 		hist_add(metrics_hist(m, "kw_first_start_ms",
-				      "Time from acceptance to the first start.", "queue", queue,
-				      NULL),
+				      "Time from acceptance to the first start.", "queue",
+				      d->plan->job->queue, NULL),
 			 (uint64_t)MAX(d->age_ms, 0));
 }
 
@@ -448,6 +450,7 @@
 	scheduler_set_helpers(n->scheduler, links_count(n->links) + 1);
 	log_notice("lead", NULL, "scheduling begins with %u jobs, term %" G_GUINT64_FORMAT,
 		   book_count(joblog_book(n->log)), n->term);
+	intake_scheduling(n->intake, true);
 	n->ops->scheduling(n->ctx, true);
 	poke(n);
 }
@@ -468,6 +471,7 @@
 
 	n->term = 0;
 	n->scheduler = NULL;
+	intake_scheduling(n->intake, false);
 	if (s) {
 		n->ops->scheduling(n->ctx, false);
 		scheduler_destroy(s);
@@ -533,20 +537,9 @@
 	.fenced = on_log_fenced,
 };
 
-/* What may be told of a job; false if only the scheduler or the store can tell. */
-static bool own_state(struct node *n, const char *id, enum job_state *state)
-{
-	const struct plan *p = book_find(joblog_book(n->log), id);
-
-	if (!p || (!n->scheduler && p->shown < JOB_DONE))
-		return false;
-	*state = p->shown == JOB_QUEUED && p->started ? JOB_RUNNING : p->shown;
-	return true;
-}
-
 static bool on_state_asked(void *ctx, const char *id, enum job_state *state)
 {
-	return own_state(ctx, id, state);
+	return intake_known(((struct node *)ctx)->intake, id, state);
 }
 
 static void on_ask(void *ctx, uint64_t call, const char *step, const char *const *runner, size_t n)
@@ -579,7 +572,7 @@
 {
 	struct lodged *d = ctx;
 
-	links_appended(d->node->links, d->peer, d->call, result == STORE_OK);
+	links_appended(d->node->links, d->peer, d->call, result);
 	g_free(d);
 }
 
@@ -648,6 +641,7 @@
 	n->relay = relay_create(runners, n->links);
 	n->helper = helper_create(advisor, on_helped, n);
 	n->log = joblog_create(store, &joblog_ops, n);
+	n->intake = intake_create(n->log, n->links);
 	n->election = election_create(store, n->self, address, conf->weak, &election_ops, n);
 	return n;
 }
@@ -722,186 +716,19 @@
 	return book_waiting(joblog_book(n->log), queue);
 }
 
-/* A call of a caller that waits for the store. */
-struct intake {
-	struct node *node;
-	char id[JOB_ID_LEN + 1];
-	char *key; /* of the record to append */
-	uint8_t *value;
-	size_t size;
-	int64_t until_ms;
-	intake_fn fn;
-	intake_state_fn state_fn;
-	void *ctx;
-};
-
-static struct intake *intake_create(struct node *n, const char *id, void *ctx)
-{
-	struct intake *c = g_new0(struct intake, 1);
-
-	c->node = n;
-	g_strlcpy(c->id, id, sizeof(c->id));
-	c->ctx = ctx;
-	return c;
-}
-
-static enum intake_result intake_result(enum store_result result)
-{
-	if (result == STORE_OK)
-		return INTAKE_OK;
-	return result == STORE_UNKNOWN ? INTAKE_UNKNOWN : INTAKE_REFUSED;
-}
-
-static void intake_free(struct intake *c)
-{
-	g_free(c->key);
-	g_free(c->value);
-	g_free(c);
-}
-
-static void on_intake_done(void *ctx, enum store_result result)
-{
-	struct intake *c = ctx;
-
-	c->fn(c->ctx, intake_result(result));
-	intake_free(c);
-}
-
-static void append_here(struct intake *c)
-{
-	joblog_append(c->node->log, c->key, g_steal_pointer(&c->value), c->size, c->until_ms,
-		      on_intake_done, c);
-}
-
-/* Without the scheduler's word the record may be in the log or not; appending it again is harmless.
- */
-static void on_stored(void *ctx, bool stored)
-{
-	struct intake *c = ctx;
-
-	if (stored)
-		on_intake_done(c, STORE_OK);
-	else
-		append_here(c);
-}
-
-/*
- * The scheduler appends what all nodes take in with one call, and knows of it without reading. With
- * a slow store, whose partitions take one append at a time, that is what keeps callers from waiting
- * for each other.
- */
-static void store_intake(struct intake *c)
-{
-	int64_t within_ms = MIN(c->until_ms - node_now_ms(), FORWARD_MS);
-
-	if (c->node->scheduler || within_ms <= 0 ||
-	    !links_ask_append(c->node->links, c->key, c->value, c->size, (uint32_t)within_ms,
-			      on_stored, c))
-		append_here(c);
-}
-
 void node_submit(struct node *n, Cell__Job *job, int64_t until_ms, intake_fn fn, void *ctx)
 {
-	struct intake *c;
-
-	if (book_find(joblog_book(n->log), job->id)) {
-		cell__job__free_unpacked(job, NULL);
-		fn(ctx, INTAKE_OK);
-		return;
-	}
-	c = intake_create(n, job->id, ctx);
-	c->fn = fn;
-	c->until_ms = until_ms;
-	c->key = g_strdup(job->id);
-	c->size = cell__job__get_packed_size(job);
-	c->value = g_malloc(c->size + 1);
-	cell__job__pack(job, c->value);
-	cell__job__free_unpacked(job, NULL);
-	store_intake(c);
-}
-
-static void append_cancel(struct intake *c)
-{
-	c->key = g_strdup_printf("%s/c", c->id);
-	c->value = g_malloc(1);
-	c->value[0] = 1;
-	c->size = 1;
-	store_intake(c);
-}
-
-static void on_cancel_refreshed(void *ctx, enum store_result result)
-{
-	struct intake *c = ctx;
-
-	if (result == STORE_OK && !book_find(joblog_book(c->node->log), c->id)) {
-		c->fn(c->ctx, INTAKE_NOT_FOUND);
-		intake_free(c);
-	} else if (result == STORE_OK) {
-		append_cancel(c);
-	} else {
-		on_intake_done(c, STORE_REFUSED);
-	}
+	intake_submit(n->intake, job, until_ms, fn, ctx);
 }
 
 void node_cancel(struct node *n, const char *id, int64_t until_ms, intake_fn fn, void *ctx)
 {
-	struct intake *c = intake_create(n, id, ctx);
-
-	c->fn = fn;
-	c->until_ms = until_ms;
-	if (book_find(joblog_book(n->log), id))
-		append_cancel(c);
-	else
-		joblog_refresh(n->log, on_cancel_refreshed, c);
-}
-
-static void finish_state(struct intake *c, enum intake_result result, enum job_state state)
-{
-	c->state_fn(c->ctx, result, state);
-	intake_free(c);
-}
-
-static void on_state_refreshed(void *ctx, enum store_result result)
-{
-	struct intake *c = ctx;
-	const struct plan *p = book_find(joblog_book(c->node->log), c->id);
-
-	if (result != STORE_OK)
-		finish_state(c, INTAKE_REFUSED, JOB_QUEUED);
-	else if (!p)
-		finish_state(c, INTAKE_NOT_FOUND, JOB_QUEUED);
-	else
-		finish_state(c, INTAKE_OK,
-			     p->shown == JOB_QUEUED && p->started ? JOB_RUNNING : p->shown);
-}
-
-static void on_state_told(void *ctx, bool known, enum job_state state)
-{
-	struct intake *c = ctx;
-
-	if (known)
-		finish_state(c, INTAKE_OK, state);
-	else
-		joblog_refresh(c->node->log, on_state_refreshed, c);
+	intake_cancel(n->intake, id, until_ms, fn, ctx);
 }
 
 void node_state(struct node *n, const char *id, intake_state_fn fn, void *ctx)
 {
-	struct intake *c;
-	enum job_state state;
-
-	if (own_state(n, id, &state)) {
-		fn(ctx, INTAKE_OK, state);
-		return;
-	}
-	c = intake_create(n, id, ctx);
-	c->state_fn = fn;
-	if (links_ask_state(n->links, id, on_state_told, c))
-		return;
-	if (joblog_away(n->log))
-		finish_state(c, INTAKE_REFUSED, JOB_QUEUED);
-	else
-		joblog_refresh(n->log, on_state_refreshed, c);
+	intake_state(n->intake, id, fn, ctx);
 }
 
 void node_destroy(struct node *n)
@@ -917,6 +744,7 @@
 	links_destroy(n->links);
 	relay_destroy(n->relay);
 	helper_destroy(n->helper);
+	intake_destroy(n->intake);
 	joblog_destroy(n->log);
 	queues_destroy(n->queues);
 	g_hash_table_unref(n->asks);
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -4,6 +4,7 @@
 #include "ports.h"
 #include "process/metrics.h"
 #include "process/status.h"
+#include "request/intake.h"
 
 /*
  * node - one process of a cell that keeps its state in a store: takes jobs in, answers for them,
@@ -26,16 +27,6 @@
 	void (*scheduling)(void *ctx, bool yes);
 };
 
-enum intake_result {
-	INTAKE_OK = 0,
-	INTAKE_REFUSED, /* surely not taken; try again later */
-	INTAKE_UNKNOWN, /* may have been taken */
-	INTAKE_NOT_FOUND,
-};
-
-typedef void (*intake_fn)(void *ctx, enum intake_result result);
-typedef void (*intake_state_fn)(void *ctx, enum intake_result result, enum job_state state);
-
 struct node *node_create(const struct node_conf *conf, const struct store *store,
 			 const struct runners *runners, const struct advisor *advisor,
 			 const struct node_ops *ops, void *ctx);
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -2947,7 +2947,7 @@
   (ProtobufCMessageInit) cell__append_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__append_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cell__append_reply__field_descriptors[3] =
 {
   {
     "call",
@@ -2973,15 +2973,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendReply, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__append_reply__field_indices_by_name[] = {
   0,   /* field[0] = call */
+  2,   /* field[2] = refused */
   1,   /* field[1] = stored */
 };
 static const ProtobufCIntRange cell__append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cell__append_reply__descriptor =
 {
@@ -2991,7 +3004,7 @@
   "Cell__AppendReply",
   "cell",
   sizeof(Cell__AppendReply),
-  2,
+  3,
   cell__append_reply__field_descriptors,
   cell__append_reply__field_indices_by_name,
   1,  cell__append_reply__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -383,10 +383,14 @@
   ProtobufCMessage base;
   uint64_t call;
   protobuf_c_boolean stored;
+  /*
+   * Surely not stored; without both it is not known.
+   */
+  protobuf_c_boolean refused;
 };
 #define CELL__APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__append_reply__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /* Cell__Step methods */
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -4,6 +4,7 @@
 #include "fakestore.h"
 #include "process/helper.h"
 #include "process/relay.h"
+#include "request/intake.h"
 
 /*
  * Links and the relay over loopback: one node schedules, another carries its orders out. Loops run
@@ -20,7 +21,8 @@
 	uint32_t advised;
 	uint32_t appended;
 	bool answered;
-	bool silent; /* orders are not carried out */
+	bool silent;  /* orders are not carried out */
+	bool refuses; /* records */
 	char ticket[16];
 };
 
@@ -56,7 +58,11 @@
 	struct end *e = ctx;
 
 	e->appended++;
-	links_appended(e->links, p, ask->call, g_str_equal(ask->key, "good"));
+	links_appended(e->links, p, ask->call,
+		       e->refuses		       ? STORE_REFUSED
+		       : g_str_equal(ask->key, "good") ? STORE_OK
+		       : g_str_equal(ask->key, "bad")  ? STORE_REFUSED
+						       : STORE_UNKNOWN);
 }
 
 static void on_order(void *ctx, const Kw__Envelope *m)
@@ -186,7 +192,7 @@
 	enum job_state state;
 	enum start_result started;
 	bool looked;
-	bool stored;
+	enum store_result stored;
 };
 
 static void on_told(void *ctx, bool known, enum job_state state)
@@ -198,7 +204,7 @@
 	t->state = state;
 }
 
-static void on_stored(void *ctx, bool stored)
+static void on_stored(void *ctx, enum store_result stored)
 {
 	struct told *t = ctx;
 
@@ -250,10 +256,13 @@
 	cr_assert_not(t.known);
 	cr_assert(links_ask_append(b.links, "good", (const uint8_t *)"x", 1, 500, on_stored, &t));
 	run_until(&t.n, 3);
-	cr_assert(t.stored);
+	cr_assert_eq(t.stored, STORE_OK);
 	cr_assert(links_ask_append(b.links, "bad", (const uint8_t *)"x", 1, 500, on_stored, &t));
 	run_until(&t.n, 4);
-	cr_assert_not(t.stored);
+	cr_assert_eq(t.stored, STORE_REFUSED);
+	cr_assert(links_ask_append(b.links, "?", (const uint8_t *)"x", 1, 500, on_stored, &t));
+	run_until(&t.n, 5);
+	cr_assert_eq(t.stored, STORE_UNKNOWN);
 	cr_assert_not(links_ask_state(a.links, "known", on_told, &t), "a has no scheduler to ask");
 	end_close(&b);
 	end_close(&a);
@@ -269,6 +278,7 @@
 	cr_assert(links_ask_append(b.links, "good", (const uint8_t *)"x", 1, 500, on_stored, &t));
 	end_close(&a);
 	run_until(&t.n, 1);
+	cr_assert_eq(t.stored, STORE_UNKNOWN);
 	end_close(&b);
 }
 
@@ -419,3 +429,96 @@
 	cr_assert_eq(a.n, 2, "the third was never sent");
 	helper_destroy(h);
 }
+
+static void on_changed(void *ctx, struct plan *p)
+{
+}
+
+static void on_written(void *ctx, uint64_t batch)
+{
+}
+
+static void on_fenced(void *ctx)
+{
+}
+
+static const struct joblog_ops joblog_ops = {
+	.changed = on_changed, .dropped = on_changed, .written = on_written, .fenced = on_fenced
+};
+
+static Cell__Job *make_job(void)
+{
+	Cell__Job *job = g_new(Cell__Job, 1);
+
+	cell__job__init(job);
+	job->id = g_strdup("00000000000000a1");
+	job->queue = g_strdup("q");
+	job->service = g_strdup("s");
+	job->payload = g_strdup("");
+	return job;
+}
+
+struct submitted {
+	uint32_t n;
+	enum intake_result result;
+};
+
+static void on_submitted(void *ctx, enum intake_result result)
+{
+	struct submitted *t = ctx;
+
+	t->n++;
+	t->result = result;
+}
+
+struct refusal_case {
+	const char *what;
+	bool scheduler_refuses; /* else it can't tell */
+	enum fake_mode store;	/* as this node sees it */
+	enum intake_result told;
+};
+
+/*
+ * "Refused" is a promise that the job never runs. The scheduler that could not tell may have stored
+ * it, whatever the store says to this node afterwards (rule days: REFUSED 54 and 23).
+ */
+Test(intake, refused_is_said_only_if_nothing_can_be_stored)
+{
+	static const struct refusal_case cases[] = {
+		{ "both refuse", true, FAKE_REFUSES, INTAKE_REFUSED },
+		{ "the scheduler can't tell, the store refuses", false, FAKE_REFUSES,
+		  INTAKE_UNKNOWN },
+		{ "the scheduler refuses, the store is silent", true, FAKE_SILENT, INTAKE_UNKNOWN },
+		{ "the scheduler can't tell, the store takes it", false, FAKE_WELL, INTAKE_OK },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct end a = { .refuses = cases[i].scheduler_refuses };
+		struct end b = { 0 };
+		struct submitted t = { 0 };
+		struct fake_log *log = fake_log_create();
+		struct fake_client *client = fake_client_create(log);
+		struct store store = fake_store(client);
+		struct joblog *j = joblog_create(&store, &joblog_ops, NULL);
+		struct intake *in;
+
+		pair(&a, &b, (uint16_t)(PORT + 10 + i));
+		in = intake_create(j, b.links);
+		fake_mode(client, cases[i].store);
+		intake_submit(in, make_job(), fake_now_ms + 2000, on_submitted, &t);
+		run_until(&a.appended, 1);
+		for (int k = 0; k < ROUNDS_MAX && !t.n; k++) {
+			g_main_context_iteration(NULL, FALSE);
+			fake_now_ms += 1;
+			joblog_tick(j);
+			fake_serve(log);
+		}
+		cr_assert_eq(t.n, 1, "%s", cases[i].what);
+		cr_expect_eq(t.result, cases[i].told, "%s", cases[i].what);
+		intake_destroy(in);
+		joblog_destroy(j);
+		end_close(&b);
+		end_close(&a);
+		fake_log_destroy(log);
+	}
+}
