--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -5,15 +5,13 @@
 #include "joblog.h"
 #include "log.h"
 
-#define TOPIC	     "keyed.jobs"
-#define PRODUCER     "scheduler"
-#define PARTS	     2
-#define FOLLOW_MS    1000 /* between reads of a follower; waiting counts may be 2 s old */
-#define LEAD_READ_MS 300  /* between reads of the scheduler: most jobs come by way of it */
-#define RETRY_MS     80	  /* after a refusal or no answer */
-#define APPEND_MIN_MS                                                                              \
-	250		    /* an append takes 6 to 30 ms; it may be sent again, so little is lost \
-			     */
+#define TOPIC	       "keyed.jobs"
+#define PRODUCER       "scheduler"
+#define PARTS	       2
+#define FOLLOW_MS      1000 /* between reads of a follower; waiting counts may be 2 s old */
+#define LEAD_READ_MS   300  /* between reads of the scheduler: most jobs come by way of it */
+#define RETRY_MS       80   /* after a refusal or no answer */
+#define APPEND_MIN_MS  700  /* a store 90 times as slow answers within it */
 #define APPEND_MAX_MS  1400 /* half of the time that callers have; a slow store takes 0.6 s */
 #define APPEND_FACTOR  4    /* of the time that appends took lately */
 #define TRIES_MAX      3    /* of a record of a caller, who does better with another node then */
