--- /dev/null
+++ b/packages/cell/process/runs.c
@@ -0,0 +1,247 @@
+#define G_LOG_DOMAIN "runs"
+
+#include "scheduler_priv.h"
+
+#define START_FIRST_MS 200 /* a start is sent again after that: an answer takes 1 to 30 ms */
+#define START_AGAIN_MS 600 /* the last time it is waited for longer */
+#define ORDERS_MAX     3   /* a start without an answer is sent that often, then stopped */
+#define RETRY_MS       50  /* a task that was refused waits that long */
+
+void runs_link(struct plan *p, struct run *r)
+{
+	p->task[r->task].live = r;
+	plan_step_of(p, r->task)->live++;
+	p->live++;
+}
+
+struct amount scheduler_need(const Cell__Step *spec)
+{
+	return (struct amount){ .cpu_milli = spec->filler ? 0 : spec->cpu_milli,
+				.mem_bytes = (int64_t)spec->mem_bytes,
+				.accel = spec->accel };
+}
+
+struct run *runs_create(struct scheduler *s, struct plan *p, uint32_t task, uint32_t no)
+{
+	struct run *r = g_new0(struct run, 1);
+
+	r->plan = p;
+	r->task = task;
+	r->no = no;
+	r->need = scheduler_need(plan_step_of(p, task)->spec);
+	r->planned_ms = s->now_ms;
+	return r;
+}
+
+struct run *scheduler_plan_run(struct scheduler *s, struct plan *p, uint32_t task, struct exec *e,
+			       const char *ticket)
+{
+	struct run *r = runs_create(s, p, task, p->task[task].run + 1);
+
+	p->task[task].run = r->no;
+	r->ticket = g_strdup(ticket);
+	exec_take(e, r);
+	runs_link(p, r);
+	g_ptr_array_add(s->planned, r);
+	scheduler_mark(s, p);
+	return r;
+}
+
+void scheduler_drop_run(struct scheduler *s, struct run *r)
+{
+	struct plan *p = r->plan;
+
+	g_ptr_array_remove_fast(s->planned, r);
+	p->task[r->task].live = NULL;
+	plan_step_of(p, r->task)->live--;
+	p->live--;
+	scheduler_mark(s, p);
+	exec_release(r->exec, r);
+}
+
+void scheduler_lose_run(struct scheduler *s, struct run *r)
+{
+	struct plan *p = r->plan;
+	struct plan_step *step = plan_step_of(p, r->task);
+
+	s->sums.lapsed++;
+	scheduler_tell_run(s, DECISION_LOST, r);
+	scheduler_drop_run(s, r);
+	if (step->spec->gang)
+		scheduler_stop_gang(s, p, step);
+}
+
+struct route runs_route(const struct exec *e, uint32_t tries)
+{
+	return (struct route){ .dc = e->zone, .rank = e->misses + tries };
+}
+
+void scheduler_order_stop(struct scheduler *s, const struct exec *e, const char *task, uint32_t no)
+{
+	struct route route = runs_route(e, 0);
+
+	s->ops->stop(s->ctx, &route, e->id, e->address, task, no);
+}
+
+void runs_order_stop(struct scheduler *s, struct run *r)
+{
+	char name[TASK_NAME_BYTES];
+
+	/* A runner that was taken over from the store may not have been found yet. */
+	if (!r->exec->address)
+		return;
+	r->stop_sent_ms = s->now_ms;
+	plan_task_name(r->plan, r->task, name);
+	scheduler_order_stop(s, r->exec, name, r->no);
+}
+
+void scheduler_stop_run(struct scheduler *s, struct run *r)
+{
+	if (r->stopping)
+		return;
+	r->stopping = true;
+	/* One that was sent is stopped after its answer, which is due soon. */
+	if (r->state == RUN_ON || r->state == RUN_DOUBT)
+		runs_order_stop(s, r);
+}
+
+void scheduler_stop_gang(struct scheduler *s, struct plan *p, struct plan_step *step)
+{
+	for (uint32_t i = 0; i < step->spec->count && step->live; i++) {
+		struct run *r = p->task[step->first_task + i].live;
+
+		if (r)
+			scheduler_stop_run(s, r);
+	}
+}
+
+struct run *scheduler_find_run(struct scheduler *s, const char *runner, const char *task,
+			       uint32_t no)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	uint32_t number;
+	struct plan *p;
+	struct run *r;
+
+	if (!plan_parse_name(task, id, &occurrence, &step, &index))
+		return NULL;
+	p = book_find(s->book, id);
+	number = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
+	if (number == UINT32_MAX)
+		return NULL;
+	r = p->task[number].live;
+	return r && r->no == no && g_str_equal(r->exec->id, runner) ? r : NULL;
+}
+
+void runs_order_start(struct scheduler *s, struct run *r)
+{
+	char name[TASK_NAME_BYTES];
+	const struct plan_task *t = &r->plan->task[r->task];
+	struct start_order order = {
+		.route = runs_route(r->exec, r->orders),
+		.runner = r->exec->id,
+		.address = r->exec->address,
+		.task = name,
+		.payload = r->plan->job->payload,
+		.ticket = r->ticket,
+		.checkpoint = t->checkpoint,
+		.run = r->no,
+		.deadline_ms = exec_grant(r->exec, s->conf.lease_ms, s->now_ms),
+		.timeout_ms = r->orders + 1 < ORDERS_MAX ? START_FIRST_MS : START_AGAIN_MS,
+	};
+
+	plan_task_name(r->plan, r->task, name);
+	r->state = RUN_SENT;
+	r->sent_ms = s->now_ms;
+	r->orders++;
+	s->sums.starts++;
+	s->ops->start(s->ctx, &order);
+}
+
+/* The order surely did nothing; the task may be placed anew. */
+void runs_refused(struct scheduler *s, struct run *r, int64_t wait_ms)
+{
+	struct plan *p = r->plan;
+	struct plan_step *step = plan_step_of(p, r->task);
+
+	s->sums.refused++;
+	scheduler_tell_run(s, DECISION_REFUSED, r);
+	p->task[r->task].ready_ms = s->now_ms + wait_ms;
+	scheduler_drop_run(s, r);
+	if (step->spec->gang)
+		scheduler_stop_gang(s, p, step);
+}
+
+static void start_unanswered(struct scheduler *s, struct run *r)
+{
+	r->state = RUN_DOUBT;
+	if (r->stopping || r->orders >= ORDERS_MAX) {
+		r->stopping = true;
+		scheduler_tell_run(s, DECISION_UNANSWERED, r);
+		runs_order_stop(s, r);
+	} else {
+		runs_order_start(s, r);
+	}
+}
+
+void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       enum start_result result, int64_t now_ms)
+{
+	struct run *r = scheduler_find_run(s, runner, task, run);
+
+	s->now_ms = now_ms;
+	if (result == START_FENCED) {
+		scheduler_fenced(s, runner);
+		return;
+	}
+	if (!r || r->state != RUN_SENT)
+		return;
+	if (result == START_OK) {
+		r->state = RUN_ON;
+		r->on_ms = now_ms;
+		if (!r->plan->started)
+			scheduler_tell_job(s, DECISION_FIRST_START, r->plan);
+		plan_started(r->plan);
+		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+		if (r->stopping)
+			runs_order_stop(s, r);
+		return;
+	}
+	/* After an order in doubt a refusal says nothing of that first one. */
+	if (r->orders > 1 || result == START_UNKNOWN || result == START_OLD) {
+		if (result == START_UNKNOWN) {
+			start_unanswered(s, r);
+			return;
+		}
+		r->state = RUN_DOUBT;
+		r->stopping = true;
+		runs_order_stop(s, r);
+		return;
+	}
+	if (result == START_NOT_SENT || result == START_REFUSED) {
+		r->exec->misses++;
+		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+	}
+	if (result == START_BAD_TICKET) {
+		struct plan_step *step = plan_step_of(r->plan, r->task);
+
+		if (step->advice)
+			advice_spoil(step->advice, r->exec->handle);
+	}
+	runs_refused(s, r, RETRY_MS);
+}
+
+void scheduler_stopped(struct scheduler *s, const char *runner, const char *task, uint32_t run,
+		       bool answered, int64_t now_ms)
+{
+	struct run *r = scheduler_find_run(s, runner, task, run);
+
+	s->now_ms = now_ms;
+	if (!r || !answered)
+		return;
+	r->stop_answered_ms = now_ms;
+	r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
+}
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -7,14 +7,10 @@
 #define LOOK_WAIT_MS	  1500 /* a look waits for an end that long; below the platform's 2 s */
 #define LOOK_WAIT_MIN_MS  300  /* near an end, so that a look without an answer is noticed soon */
 #define LOOK_ANSWER_MS	  400  /* beyond its wait: 24 ms there and back, and a slow VM */
-#define START_FIRST_MS	  200  /* a start is sent again after that: an answer takes 1 to 30 ms */
-#define START_AGAIN_MS	  600  /* the last time it is waited for longer */
 #define LOOK_IDLE_MS	  4000 /* between looks at a runner on which nothing runs */
 #define LOOK_RETRY_MS	  150  /* after the second look without an answer; grows with each */
 #define LOOK_RETRY_MAX_MS 1000
 #define STOP_RETRY_MS	  700  /* a stop without an answer is sent again after that */
-#define ORDERS_MAX	  3    /* a start without an answer is sent that often, then stopped */
-#define RETRY_MS	  50   /* a task that was refused waits that long */
 #define ASK_RETRY_MS	  200  /* after the advisor did not answer */
 #define ORDER_WAY_MS	  60   /* of a start to its runner: two regions, and the node between */
 #define EXPIRE_EVERY_MS	  5000 /* between searches for jobs to drop */
@@ -47,7 +43,7 @@
 	tell(s, &d);
 }
 
-static void tell_job(struct scheduler *s, enum decision_kind kind, const struct plan *p)
+void scheduler_tell_job(struct scheduler *s, enum decision_kind kind, const struct plan *p)
 {
 	const struct decision d = { .kind = kind,
 				    .plan = p,
@@ -56,13 +52,6 @@
 	tell(s, &d);
 }
 
-static void run_link(struct plan *p, struct run *r)
-{
-	p->task[r->task].live = r;
-	plan_step_of(p, r->task)->live++;
-	p->live++;
-}
-
 static void open_job(struct scheduler *s, struct plan *p)
 {
 	if (p->listed)
@@ -71,113 +60,12 @@
 	g_ptr_array_add(s->open, p);
 }
 
-struct amount scheduler_need(const Cell__Step *spec)
-{
-	return (struct amount){ .cpu_milli = spec->filler ? 0 : spec->cpu_milli,
-				.mem_bytes = (int64_t)spec->mem_bytes,
-				.accel = spec->accel };
-}
-
 bool scheduler_usable(const struct scheduler *s, const struct exec *e)
 {
 	return e->contacted && !e->gone && !e->draining && e->misses == 0 &&
 	       e->barred_until_ms <= s->now_ms;
 }
 
-static struct run *run_create(struct scheduler *s, struct plan *p, uint32_t task, uint32_t no)
-{
-	struct run *r = g_new0(struct run, 1);
-
-	r->plan = p;
-	r->task = task;
-	r->no = no;
-	r->need = scheduler_need(plan_step_of(p, task)->spec);
-	r->planned_ms = s->now_ms;
-	return r;
-}
-
-struct run *scheduler_plan_run(struct scheduler *s, struct plan *p, uint32_t task, struct exec *e,
-			       const char *ticket)
-{
-	struct run *r = run_create(s, p, task, p->task[task].run + 1);
-
-	p->task[task].run = r->no;
-	r->ticket = g_strdup(ticket);
-	exec_take(e, r);
-	run_link(p, r);
-	g_ptr_array_add(s->planned, r);
-	scheduler_mark(s, p);
-	return r;
-}
-
-void scheduler_drop_run(struct scheduler *s, struct run *r)
-{
-	struct plan *p = r->plan;
-
-	g_ptr_array_remove_fast(s->planned, r);
-	p->task[r->task].live = NULL;
-	plan_step_of(p, r->task)->live--;
-	p->live--;
-	scheduler_mark(s, p);
-	exec_release(r->exec, r);
-}
-
-void scheduler_lose_run(struct scheduler *s, struct run *r)
-{
-	struct plan *p = r->plan;
-	struct plan_step *step = plan_step_of(p, r->task);
-
-	s->sums.lapsed++;
-	scheduler_tell_run(s, DECISION_LOST, r);
-	scheduler_drop_run(s, r);
-	if (step->spec->gang)
-		scheduler_stop_gang(s, p, step);
-}
-
-static struct route route_to(const struct exec *e, uint32_t tries)
-{
-	return (struct route){ .dc = e->zone, .rank = e->misses + tries };
-}
-
-void scheduler_order_stop(struct scheduler *s, const struct exec *e, const char *task, uint32_t no)
-{
-	struct route route = route_to(e, 0);
-
-	s->ops->stop(s->ctx, &route, e->id, e->address, task, no);
-}
-
-static void order_stop(struct scheduler *s, struct run *r)
-{
-	char name[TASK_NAME_BYTES];
-
-	/* A runner that was taken over from the store may not have been found yet. */
-	if (!r->exec->address)
-		return;
-	r->stop_sent_ms = s->now_ms;
-	plan_task_name(r->plan, r->task, name);
-	scheduler_order_stop(s, r->exec, name, r->no);
-}
-
-void scheduler_stop_run(struct scheduler *s, struct run *r)
-{
-	if (r->stopping)
-		return;
-	r->stopping = true;
-	/* One that was sent is stopped after its answer, which is due soon. */
-	if (r->state == RUN_ON || r->state == RUN_DOUBT)
-		order_stop(s, r);
-}
-
-void scheduler_stop_gang(struct scheduler *s, struct plan *p, struct plan_step *step)
-{
-	for (uint32_t i = 0; i < step->spec->count && step->live; i++) {
-		struct run *r = p->task[step->first_task + i].live;
-
-		if (r)
-			scheduler_stop_run(s, r);
-	}
-}
-
 static void stop_all(struct scheduler *s, struct plan *p)
 {
 	for (uint32_t i = 0; i < p->n_task && p->live; i++)
@@ -189,32 +77,11 @@
 {
 	p->state = state;
 	p->ended_ms = s->wall_ms;
-	tell_job(s, DECISION_JOB_ENDED, p);
+	scheduler_tell_job(s, DECISION_JOB_ENDED, p);
 	stop_all(s, p);
 	scheduler_mark(s, p);
 }
 
-struct run *scheduler_find_run(struct scheduler *s, const char *runner, const char *task,
-			       uint32_t no)
-{
-	char id[JOB_ID_LEN + 1];
-	uint32_t occurrence;
-	uint32_t step;
-	uint32_t index;
-	uint32_t number;
-	struct plan *p;
-	struct run *r;
-
-	if (!plan_parse_name(task, id, &occurrence, &step, &index))
-		return NULL;
-	p = book_find(s->book, id);
-	number = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
-	if (number == UINT32_MAX)
-		return NULL;
-	r = p->task[number].live;
-	return r && r->no == no && g_str_equal(r->exec->id, runner) ? r : NULL;
-}
-
 /* The runner's life is over, and all that ran there with it. */
 static void lose_runs(struct scheduler *s, struct exec *e)
 {
@@ -325,11 +192,11 @@
 		lose_runs(s, e);
 		e->born_ms = t->born_ms;
 	}
-	r = run_create(s, p, t->task, t->run);
+	r = runs_create(s, p, t->task, t->run);
 	r->state = RUN_DOUBT;
 	r->inherited = true;
 	exec_take(e, r);
-	run_link(p, r);
+	runs_link(p, r);
 }
 
 static void take_over(void *ctx, struct plan *p)
@@ -433,7 +300,7 @@
 	s->queues = q;
 }
 
-static void fenced(struct scheduler *s, const char *by)
+void scheduler_fenced(struct scheduler *s, const char *by)
 {
 	if (s->fenced)
 		return;
@@ -441,116 +308,6 @@
 	s->ops->fenced(s->ctx, by);
 }
 
-static void order_start(struct scheduler *s, struct run *r)
-{
-	char name[TASK_NAME_BYTES];
-	const struct plan_task *t = &r->plan->task[r->task];
-	struct start_order order = {
-		.route = route_to(r->exec, r->orders),
-		.runner = r->exec->id,
-		.address = r->exec->address,
-		.task = name,
-		.payload = r->plan->job->payload,
-		.ticket = r->ticket,
-		.checkpoint = t->checkpoint,
-		.run = r->no,
-		.deadline_ms = exec_grant(r->exec, s->conf.lease_ms, s->now_ms),
-		.timeout_ms = r->orders + 1 < ORDERS_MAX ? START_FIRST_MS : START_AGAIN_MS,
-	};
-
-	plan_task_name(r->plan, r->task, name);
-	r->state = RUN_SENT;
-	r->sent_ms = s->now_ms;
-	r->orders++;
-	s->sums.starts++;
-	s->ops->start(s->ctx, &order);
-}
-
-/* The order surely did nothing; the task may be placed anew. */
-static void start_refused(struct scheduler *s, struct run *r, int64_t wait_ms)
-{
-	struct plan *p = r->plan;
-	struct plan_step *step = plan_step_of(p, r->task);
-
-	s->sums.refused++;
-	scheduler_tell_run(s, DECISION_REFUSED, r);
-	p->task[r->task].ready_ms = s->now_ms + wait_ms;
-	scheduler_drop_run(s, r);
-	if (step->spec->gang)
-		scheduler_stop_gang(s, p, step);
-}
-
-static void start_unanswered(struct scheduler *s, struct run *r)
-{
-	r->state = RUN_DOUBT;
-	if (r->stopping || r->orders >= ORDERS_MAX) {
-		r->stopping = true;
-		scheduler_tell_run(s, DECISION_UNANSWERED, r);
-		order_stop(s, r);
-	} else {
-		order_start(s, r);
-	}
-}
-
-void scheduler_started(struct scheduler *s, const char *runner, const char *task, uint32_t run,
-		       enum start_result result, int64_t now_ms)
-{
-	struct run *r = scheduler_find_run(s, runner, task, run);
-
-	s->now_ms = now_ms;
-	if (result == START_FENCED) {
-		fenced(s, runner);
-		return;
-	}
-	if (!r || r->state != RUN_SENT)
-		return;
-	if (result == START_OK) {
-		r->state = RUN_ON;
-		r->on_ms = now_ms;
-		if (!r->plan->started)
-			tell_job(s, DECISION_FIRST_START, r->plan);
-		plan_started(r->plan);
-		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
-		if (r->stopping)
-			order_stop(s, r);
-		return;
-	}
-	/* After an order in doubt a refusal says nothing of that first one. */
-	if (r->orders > 1 || result == START_UNKNOWN || result == START_OLD) {
-		if (result == START_UNKNOWN) {
-			start_unanswered(s, r);
-			return;
-		}
-		r->state = RUN_DOUBT;
-		r->stopping = true;
-		order_stop(s, r);
-		return;
-	}
-	if (result == START_NOT_SENT || result == START_REFUSED) {
-		r->exec->misses++;
-		r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
-	}
-	if (result == START_BAD_TICKET) {
-		struct plan_step *step = plan_step_of(r->plan, r->task);
-
-		if (step->advice)
-			advice_spoil(step->advice, r->exec->handle);
-	}
-	start_refused(s, r, RETRY_MS);
-}
-
-void scheduler_stopped(struct scheduler *s, const char *runner, const char *task, uint32_t run,
-		       bool answered, int64_t now_ms)
-{
-	struct run *r = scheduler_find_run(s, runner, task, run);
-
-	s->now_ms = now_ms;
-	if (!r || !answered)
-		return;
-	r->stop_answered_ms = now_ms;
-	r->exec->look_ms = MIN(r->exec->look_ms, now_ms);
-}
-
 void scheduler_looked(struct scheduler *s, const char *runner, const struct look *look,
 		      int64_t now_ms)
 {
@@ -564,7 +321,7 @@
 	e->looking = false;
 	e->look_ms = now_ms;
 	if (look && look->fenced) {
-		fenced(s, runner);
+		scheduler_fenced(s, runner);
 		return;
 	}
 	if (look && look->born_ms > e->born_ms && e->born_ms) {
@@ -672,9 +429,9 @@
 			continue;
 		g_ptr_array_remove_index_fast(s->planned, i - 1);
 		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r))
-			start_refused(s, r, 0);
+			runs_refused(s, r, 0);
 		else
-			order_start(s, r);
+			runs_order_start(s, r);
 	}
 }
 
@@ -708,7 +465,7 @@
 
 static void send_look(struct scheduler *s, struct exec *e)
 {
-	struct look_order order = { .route = route_to(e, 0),
+	struct look_order order = { .route = runs_route(e, 0),
 				    .runner = e->id,
 				    .address = e->address };
 	bool unwritten = e->seen_batch > s->batch_acked;
@@ -748,7 +505,7 @@
 		    r->state == RUN_SENT)
 			continue;
 		if (s->now_ms - r->stop_sent_ms >= STOP_RETRY_MS)
-			order_stop(s, r);
+			runs_order_stop(s, r);
 		*next = MIN(*next, r->stop_sent_ms + STOP_RETRY_MS);
 	}
 }
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -5,8 +5,8 @@
 #include "process/scheduler.h"
 
 /*
- * Parts of the scheduler: scheduler.c follows runners, jobs and orders, looks.c reads what runners
- * list, pick.c places tasks, progress.c writes the log.
+ * Parts of the scheduler: scheduler.c follows jobs and runners, runs.c orders starts and stops,
+ * looks.c reads what runners list, pick.c places tasks, progress.c writes the log.
  */
 
 /* A ticket or lease has to be valid that much longer than now: intent, way and order take time. */
@@ -39,6 +39,21 @@
 void scheduler_tell_run(struct scheduler *s, enum decision_kind kind, const struct run *r);
 void scheduler_tell_runner(struct scheduler *s, enum decision_kind kind, const struct exec *e,
 			   int64_t age_ms);
+void scheduler_tell_job(struct scheduler *s, enum decision_kind kind, const struct plan *p);
+/* scheduler_fenced - a newer scheduler was seen; nothing is decided any more. */
+void scheduler_fenced(struct scheduler *s, const char *by);
+
+/* runs_create - a run of the task, on no runner yet. */
+struct run *runs_create(struct scheduler *s, struct plan *p, uint32_t task, uint32_t no);
+/* runs_link - makes it the task's run that may exist. */
+void runs_link(struct plan *p, struct run *r);
+/* runs_route - the way to the runner after so many orders without an answer. */
+struct route runs_route(const struct exec *e, uint32_t tries);
+void runs_order_start(struct scheduler *s, struct run *r);
+void runs_order_stop(struct scheduler *s, struct run *r);
+/* runs_refused - the order surely did nothing; the task may be placed anew after wait_ms. */
+void runs_refused(struct scheduler *s, struct run *r, int64_t wait_ms);
+
 /* scheduler_mark - the job's progress has changed. */
 void scheduler_mark(struct scheduler *s, struct plan *p);
 /* scheduler_plan_run - takes room for a start of the task; its intent goes into the next batch. */
--- /dev/null
+++ b/packages/node/process/decisions.c
@@ -0,0 +1,103 @@
+#define G_LOG_DOMAIN "node"
+
+#include "decisions.h"
+#include "log.h"
+
+static const char *state_word(enum job_state state)
+{
+	static const char *const words[] = { [JOB_QUEUED] = "queued",
+					     [JOB_RUNNING] = "running",
+					     [JOB_DONE] = "done",
+					     [JOB_FAILED] = "failed",
+					     [JOB_CANCELLED] = "cancelled" };
+
+	return words[state];
+}
+
+static void log_job(const struct decision *d, uint64_t term)
+{
+	const struct plan *p = d->plan;
+	uint32_t runs = 0;
+	uint32_t failures = 0;
+
+	if (d->kind == DECISION_FIRST_START) {
+		log_request(LOG_INFO, p->id, "first-start", NULL,
+			    "%" G_GINT64_FORMAT " ms after it was accepted, queue %s", d->age_ms,
+			    p->job->queue);
+		return;
+	}
+	for (uint32_t i = 0; i < p->n_task; i++) {
+		runs += p->task[i].run;
+		failures += p->task[i].failures;
+	}
+	log_request(LOG_INFO, p->id, "ended", NULL,
+		    "%s after %" G_GINT64_FORMAT
+		    " ms: %u tasks, %u runs, %u failures, term %" G_GUINT64_FORMAT,
+		    state_word(p->state), d->age_ms, p->n_task, runs, failures, term);
+}
+
+static void log_run(const struct decision *d)
+{
+	static const char *const words[] = { [DECISION_REFUSED] = "start refused",
+					     [DECISION_UNANSWERED] = "start not answered, stopped",
+					     [DECISION_FAILED] = "run failed",
+					     [DECISION_HANGS] = "run stands still, stopped",
+					     [DECISION_LOST] = "run lost" };
+	char task[TASK_NAME_BYTES];
+
+	plan_task_name(d->plan, d->task, task);
+	log_request(LOG_INFO, task, "run", d->runner,
+		    "%s: run %u, planned %" G_GINT64_FORMAT " ms ago", words[d->kind], d->run,
+		    d->age_ms);
+}
+
+static void log_runner(const struct decision *d)
+{
+	static const char *const words[] = {
+		[DECISION_RUNNER_SILENT] = "no answer, for",
+		[DECISION_RUNNER_BACK] = "answers again, after",
+		[DECISION_RUNNER_BARRED] = "fails what it starts; no starts for",
+		[DECISION_RUNNER_BORN] = "born again; its older life answered last before",
+	};
+
+	log_info("runner", d->runner, "%s %" G_GINT64_FORMAT " ms", words[d->kind], d->age_ms);
+}
+
+static void count(const struct decision *d, struct metrics *m)
+{
+	static const char *const words[] = {
+		[DECISION_JOB_ENDED] = "job_ended",	[DECISION_FIRST_START] = "first_start",
+		[DECISION_REFUSED] = "start_refused",	[DECISION_UNANSWERED] = "start_unanswered",
+		[DECISION_FAILED] = "run_failed",	[DECISION_HANGS] = "run_hangs",
+		[DECISION_LOST] = "run_lost",		[DECISION_RUNNER_SILENT] = "runner_silent",
+		[DECISION_RUNNER_BACK] = "runner_back", [DECISION_RUNNER_BARRED] = "runner_barred",
+		[DECISION_RUNNER_BORN] = "runner_born"
+	};
+
+	metrics_counter(m, "kw_decisions_total", "Decisions of the scheduler by kind.", "kind",
+			words[d->kind], NULL)
+		->value++;
+	if (!d->plan)
+		return;
+	if (d->kind == DECISION_JOB_ENDED)
+		hist_add(metrics_hist(m, "kw_job_ms", "Time from acceptance to the end of a job.",
+				      "queue", d->plan->job->queue, "state",
+				      state_word(d->plan->state), NULL),
+			 (uint64_t)MAX(d->age_ms, 0));
+	else if (d->kind == DECISION_FIRST_START)
+		hist_add(metrics_hist(m, "kw_first_start_ms",
+				      "Time from acceptance to the first start.", "queue",
+				      d->plan->job->queue, NULL),
+			 (uint64_t)MAX(d->age_ms, 0));
+}
+
+void decisions_note(const struct decision *d, struct metrics *metrics, uint64_t term)
+{
+	count(d, metrics);
+	if (d->kind <= DECISION_FIRST_START)
+		log_job(d, term);
+	else if (d->kind <= DECISION_LOST)
+		log_run(d);
+	else
+		log_runner(d);
+}
