--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -5,8 +5,9 @@
 #include "process/scheduler.h"
 
 /*
- * Parts of the scheduler: scheduler.c follows jobs and runners, runs.c orders starts and stops,
- * looks.c reads what runners list, pick.c places tasks, progress.c writes the log.
+ * Parts of the scheduler: scheduler.c follows jobs, runners.c runners, their lives and leases,
+ * runs.c orders starts and stops, looks.c reads what runners list, pick.c places tasks, progress.c
+ * writes the log, sums.c counts.
  */
 
 /* A ticket or lease has to be valid that much longer than now: intent, way and order take time. */
@@ -43,6 +44,12 @@
 /* scheduler_fenced - a newer scheduler was seen; nothing is decided any more. */
 void scheduler_fenced(struct scheduler *s, const char *by);
 
+/* runners_add - a runner, on which what an older scheduler started may run. */
+struct exec *runners_add(struct scheduler *s, const struct runner_info *info);
+/* runners_check - ends leases, repeats stops and looks; when the next is due, next_ms at the
+ * latest. */
+int64_t runners_check(struct scheduler *s, int64_t next_ms);
+
 /* runs_create - a run of the task, on no runner yet. */
 struct run *runs_create(struct scheduler *s, struct plan *p, uint32_t task, uint32_t no);
 /* runs_link - makes it the task's run that may exist. */
--- /dev/null
+++ b/packages/cell/process/sums.c
@@ -0,0 +1,55 @@
+#include "scheduler_priv.h"
+
+void scheduler_sums(const struct scheduler *s, struct scheduler_sums *sums)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	*sums = s->sums;
+	sums->open_jobs = s->open->len;
+	sums->runners = g_hash_table_size(s->exec);
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct exec *e = value;
+
+		sums->runs += e->run->len;
+		sums->silent_runners += e->misses > 0 || !e->contacted;
+	}
+}
+
+static void add_to_pool(GArray *pools, const struct exec *e)
+{
+	struct scheduler_pool fresh = { .service = e->service };
+	struct scheduler_pool *p = NULL;
+
+	for (guint i = 0; i < pools->len && !p; i++) {
+		p = &g_array_index(pools, struct scheduler_pool, i);
+		if (!g_str_equal(p->service, e->service))
+			p = NULL;
+	}
+	if (!p) {
+		g_array_append_val(pools, fresh);
+		p = &g_array_index(pools, struct scheduler_pool, pools->len - 1);
+	}
+	p->runners++;
+	amount_add(&p->room, &e->room);
+	amount_add(&p->used, &e->used);
+}
+
+void scheduler_each_pool(const struct scheduler *s,
+			 void (*fn)(void *ctx, const struct scheduler_pool *pool), void *ctx)
+{
+	g_autoptr(GArray) pools = g_array_new(FALSE, FALSE, sizeof(struct scheduler_pool));
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct exec *e = value;
+
+		if (e->service && scheduler_usable(s, e))
+			add_to_pool(pools, e);
+	}
+	for (guint i = 0; i < pools->len; i++)
+		fn(ctx, &g_array_index(pools, struct scheduler_pool, i));
+}
