One lookup of a task by its name, one way of dropping a gang's member, and routes passed whole

Cause: a reading of the code. A task's name was resolved in looks.c and in runs.c; a lost and a refused run ended the same way in two functions; the relay was given a route's fields beside the order that holds the route, and each of its three orders picked the peer by itself. Change: book_find_task(), drop_member(), and give() picks the peer; scheduler_started() tests an order without an answer once. Tests: unchanged but for the arguments of relay_start() and relay_look(); no assertion was changed.

--- a/packages/cell/process/book.c
+++ b/packages/cell/process/book.c
@@ -142,6 +142,19 @@
 	return p && p->job ? p : NULL;
 }
 
+uint32_t book_find_task(const struct book *b, const char *name, struct plan **p)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+
+	*p = NULL;
+	if (plan_parse_name(name, id, &occurrence, &step, &index))
+		*p = book_find(b, id);
+	return *p ? plan_task_number(*p, occurrence, step, index) : UINT32_MAX;
+}
+
 uint32_t book_waiting(const struct book *b, const char *queue)
 {
 	GHashTableIter it;
--- a/packages/cell/process/book.h
+++ b/packages/cell/process/book.h
@@ -25,6 +25,9 @@
 bool book_apply(struct book *b, const char *key, const uint8_t *value, size_t size);
 /* book_find - NULL if the job was not read, or only other records of it. */
 struct plan *book_find(const struct book *b, const char *id);
+/* book_find_task - the number of the task of that name in its job *p; UINT32_MAX if there is none.
+ */
+uint32_t book_find_task(const struct book *b, const char *name, struct plan **p);
 /* book_waiting - jobs of the queue for which no task was started, and that have not ended. */
 uint32_t book_waiting(const struct book *b, const char *queue);
 void book_each(const struct book *b, void (*fn)(void *ctx, struct plan *p), void *ctx);
--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -70,23 +70,16 @@
 
 static void read_end(struct scheduler *s, struct exec *e, const struct look_ended *end)
 {
-	char id[JOB_ID_LEN + 1];
-	uint32_t occurrence;
-	uint32_t step;
-	uint32_t index;
-	struct plan *p = NULL;
-	struct plan_step *of;
+	struct plan *p;
+	uint32_t task = book_find_task(s->book, end->task, &p);
+	struct plan_step *step;
 	struct run *r;
-	uint32_t task;
 
-	if (plan_parse_name(end->task, id, &occurrence, &step, &index))
-		p = book_find(s->book, id);
-	task = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
 	if (task == UINT32_MAX) {
 		g_info("runner %s lists the end of an unknown task %s", e->id, end->task);
 		return;
 	}
-	of = &p->step[occurrence * p->job->n_step + step];
+	step = plan_step_of(p, task);
 	r = p->task[task].live;
 	if (r && r->no == end->run && r->exec == e) {
 		if (end->end == END_FAILED)
@@ -100,8 +93,8 @@
 		scheduler_stop_run(s, r);
 	}
 	apply_end(s, e, p, task, end);
-	if (of->spec->gang && !p->task[task].done)
-		scheduler_stop_gang(s, p, of);
+	if (step->spec->gang && !p->task[task].done)
+		scheduler_stop_gang(s, p, step);
 	scheduler_mark(s, p);
 }
 
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -59,18 +59,24 @@
 	exec_release(r->exec, r);
 }
 
-void scheduler_lose_run(struct scheduler *s, struct run *r)
+/* The members of a gang go on together or not at all. */
+static void drop_member(struct scheduler *s, struct run *r)
 {
 	struct plan *p = r->plan;
 	struct plan_step *step = plan_step_of(p, r->task);
 
-	s->sums.lapsed++;
-	scheduler_tell_run(s, DECISION_LOST, r);
 	scheduler_drop_run(s, r);
 	if (step->spec->gang)
 		scheduler_stop_gang(s, p, step);
 }
 
+void scheduler_lose_run(struct scheduler *s, struct run *r)
+{
+	s->sums.lapsed++;
+	scheduler_tell_run(s, DECISION_LOST, r);
+	drop_member(s, r);
+}
+
 struct route runs_route(const struct exec *e, uint32_t tries)
 {
 	return (struct route){ .dc = e->zone, .rank = e->misses + tries };
@@ -118,18 +124,10 @@
 struct run *scheduler_find_run(struct scheduler *s, const char *runner, const char *task,
 			       uint32_t no)
 {
-	char id[JOB_ID_LEN + 1];
-	uint32_t occurrence;
-	uint32_t step;
-	uint32_t index;
-	uint32_t number;
 	struct plan *p;
+	uint32_t number = book_find_task(s->book, task, &p);
 	struct run *r;
 
-	if (!plan_parse_name(task, id, &occurrence, &step, &index))
-		return NULL;
-	p = book_find(s->book, id);
-	number = p ? plan_task_number(p, occurrence, step, index) : UINT32_MAX;
 	if (number == UINT32_MAX)
 		return NULL;
 	r = p->task[number].live;
@@ -161,18 +159,12 @@
 	s->ops->start(s->ctx, &order);
 }
 
-/* The order surely did nothing; the task may be placed anew. */
 void runs_refused(struct scheduler *s, struct run *r, int64_t wait_ms)
 {
-	struct plan *p = r->plan;
-	struct plan_step *step = plan_step_of(p, r->task);
-
 	s->sums.refused++;
 	scheduler_tell_run(s, DECISION_REFUSED, r);
-	p->task[r->task].ready_ms = s->now_ms + wait_ms;
-	scheduler_drop_run(s, r);
-	if (step->spec->gang)
-		scheduler_stop_gang(s, p, step);
+	r->plan->task[r->task].ready_ms = s->now_ms + wait_ms;
+	drop_member(s, r);
 }
 
 static void start_unanswered(struct scheduler *s, struct run *r)
@@ -210,12 +202,12 @@
 			runs_order_stop(s, r);
 		return;
 	}
+	if (result == START_UNKNOWN) {
+		start_unanswered(s, r);
+		return;
+	}
 	/* After an order in doubt a refusal says nothing of that first one. */
-	if (r->orders > 1 || result == START_UNKNOWN || result == START_OLD) {
-		if (result == START_UNKNOWN) {
-			start_unanswered(s, r);
-			return;
-		}
+	if (r->orders > 1 || result == START_OLD) {
 		r->state = RUN_DOUBT;
 		r->stopping = true;
 		runs_order_stop(s, r);
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -186,7 +186,7 @@
 {
 	struct node *n = ctx;
 
-	relay_start(n->relay, order->route.dc, order->route.rank, order, n->term, on_started,
+	relay_start(n->relay, order, n->term, on_started,
 		    order_create(n, order->runner, order->task, order->run));
 }
 
@@ -207,8 +207,8 @@
 {
 	struct node *n = ctx;
 
-	relay_stop(n->relay, route->dc, route->rank, runner, address, task, run, n->term,
-		   on_stopped, order_create(n, runner, task, run));
+	relay_stop(n->relay, route, runner, address, task, run, n->term, on_stopped,
+		   order_create(n, runner, task, run));
 }
 
 static void on_looked(void *ctx, const struct look *look)
@@ -227,8 +227,7 @@
 {
 	struct node *n = ctx;
 
-	relay_look(n->relay, order->route.dc, order->route.rank, order, n->term, on_looked,
-		   order_create(n, order->runner, NULL, 0));
+	relay_look(n->relay, order, n->term, on_looked, order_create(n, order->runner, NULL, 0));
 }
 
 static void ask_free(gpointer data)
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -36,12 +36,15 @@
 	uint64_t call;
 };
 
-static struct given *give(struct relay *r, struct peer *p, const Kw__Envelope *e,
-			  enum order_kind kind, uint32_t timeout_ms, void *ctx)
+/* NULL if there is no link to give the order to. */
+static struct given *give(struct relay *r, const struct route *route, const char *runner,
+			  const Kw__Envelope *e, enum order_kind kind, uint32_t timeout_ms,
+			  void *ctx)
 {
+	struct peer *p = links_pick(r->links, route->dc, runner, route->rank);
 	struct given *g;
 
-	if (!links_give(p, e))
+	if (!p || !links_give(p, e))
 		return NULL;
 	g = g_new0(struct given, 1);
 	g->kind = kind;
@@ -52,10 +55,9 @@
 	return g;
 }
 
-void relay_start(struct relay *r, const char *dc, uint32_t rank, const struct start_order *order,
-		 uint64_t term, started_fn fn, void *ctx)
+void relay_start(struct relay *r, const struct start_order *order, uint64_t term, started_fn fn,
+		 void *ctx)
 {
-	struct peer *p = links_pick(r->links, dc, order->runner, rank);
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__StartOrder m = CELL__START_ORDER__INIT;
 	struct given *g;
@@ -75,18 +77,16 @@
 	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_START_ORDER;
 	e.start_order = &m;
-	g = p ? give(r, p, &e, ORDER_START, order->timeout_ms, ctx) : NULL;
+	g = give(r, &order->route, order->runner, &e, ORDER_START, order->timeout_ms, ctx);
 	if (g)
 		g->fn.started = fn;
 	else
 		r->runners.ops->start(r->runners.impl, order, term, fn, ctx);
 }
 
-void relay_stop(struct relay *r, const char *dc, uint32_t rank, const char *runner,
-		const char *address, const char *task, uint32_t run, uint64_t term, stopped_fn fn,
-		void *ctx)
+void relay_stop(struct relay *r, const struct route *route, const char *runner, const char *address,
+		const char *task, uint32_t run, uint64_t term, stopped_fn fn, void *ctx)
 {
-	struct peer *p = links_pick(r->links, dc, runner, rank);
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__StopOrder m = CELL__STOP_ORDER__INIT;
 	struct given *g;
@@ -99,17 +99,16 @@
 	m.run = run;
 	e.body_case = KW__ENVELOPE__BODY_STOP_ORDER;
 	e.stop_order = &m;
-	g = p ? give(r, p, &e, ORDER_STOP, STOP_TIMEOUT_MS, ctx) : NULL;
+	g = give(r, route, runner, &e, ORDER_STOP, STOP_TIMEOUT_MS, ctx);
 	if (g)
 		g->fn.stopped = fn;
 	else
 		r->runners.ops->stop(r->runners.impl, runner, address, task, run, term, fn, ctx);
 }
 
-void relay_look(struct relay *r, const char *dc, uint32_t rank, const struct look_order *order,
-		uint64_t term, looked_fn fn, void *ctx)
+void relay_look(struct relay *r, const struct look_order *order, uint64_t term, looked_fn fn,
+		void *ctx)
 {
-	struct peer *p = links_pick(r->links, dc, order->runner, rank);
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__LookOrder m = CELL__LOOK_ORDER__INIT;
 	struct given *g;
@@ -124,7 +123,7 @@
 	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_LOOK_ORDER;
 	e.look_order = &m;
-	g = p ? give(r, p, &e, ORDER_LOOK, order->timeout_ms, ctx) : NULL;
+	g = give(r, &order->route, order->runner, &e, ORDER_LOOK, order->timeout_ms, ctx);
 	if (g)
 		g->fn.looked = fn;
 	else
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -326,11 +326,11 @@
 	struct told t = { 0 };
 
 	pair(&a, &b, PORT + 4);
-	relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+	relay_start(a.relay, &order, 9, on_started, &t);
 	cr_assert_eq(t.n, 0, "it goes over the link");
 	run_until(&t.n, 1);
 	cr_assert_eq(t.started, START_OK);
-	relay_look(a.relay, "dc", 0, &look, 9, on_looked, &t);
+	relay_look(a.relay, &look, 9, on_looked, &t);
 	run_until(&t.n, 2);
 	cr_assert(t.looked);
 	end_close(&b);
@@ -343,7 +343,7 @@
 	struct told t = { 0 };
 
 	end_open(&a, "a");
-	relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+	relay_start(a.relay, &order, 9, on_started, &t);
 	cr_assert_eq(t.n, 1);
 	cr_assert_eq(t.started, START_OK);
 	end_close(&a);
@@ -366,7 +366,7 @@
 		struct told t = { 0 };
 
 		pair(&a, &b, (uint16_t)(PORT + 5 + i));
-		relay_start(a.relay, "dc", 0, &order, 9, on_started, &t);
+		relay_start(a.relay, &order, 9, on_started, &t);
 		if (cases[i].lost)
 			end_close(&b);
 		else
