Links: the link to the scheduler and the linked nodes stand in files of their own

Cause: links.c held both sides of a link, with their questions and time-outs, in 604 lines; a question about a state and one with a record were sent, found and ended by two copies; links_lead() had an argument that was only ever false. Change: links.c creates and listens, uplink.c has the link to the scheduler with one send_call() and take_call(), linkpeers.c the linked nodes. links_drop_peers() replaces links_lead().

--- /dev/null
+++ b/packages/node/connection/linkpeers.c
@@ -0,0 +1,261 @@
+#define G_LOG_DOMAIN "links"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "links_priv.h"
+#include "log.h"
+
+#define ASK_TIMEOUT_MS 3500 /* an advisor's queue of calls is shorter */
+
+/* A node that is linked to this one. */
+struct peer {
+	struct links *links;
+	struct link *link;
+	char *name;
+	char *dc;
+	bool weak;
+	uint64_t load_us; /* of the questions under way */
+};
+
+struct question {
+	struct peer *peer;
+	uint64_t call;
+	uint64_t cost_us;
+	int64_t until_ms;
+};
+
+static void answer_advice(struct links *l, guint i, bool answered, const struct ticket *ticket,
+			  size_t n, uint32_t validity_ms)
+{
+	struct question q = g_array_index(l->question, struct question, i);
+
+	g_array_remove_index_fast(l->question, i);
+	if (q.peer)
+		q.peer->load_us -= q.cost_us;
+	l->ops->advised(l->ctx, q.call, answered, ticket, n, validity_ms);
+}
+
+static void drop_peer(struct peer *p)
+{
+	struct links *l = p->links;
+
+	for (guint i = l->question->len; i > 0; i--)
+		if (g_array_index(l->question, struct question, i - 1).peer == p)
+			answer_advice(l, i - 1, false, NULL, 0, 0);
+	l->ops->peer_lost(l->ctx, p);
+	link_destroy(p->link);
+	g_ptr_array_remove_fast(l->peer, p);
+	g_free(p->dc);
+	g_free(p->name);
+	g_free(p);
+	l->ops->peers(l->ctx, l->peer->len);
+}
+
+static void reply_state(struct peer *p, const Cell__StateAsk *ask)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__StateReply m = CELL__STATE_REPLY__INIT;
+	enum job_state state = JOB_QUEUED;
+
+	m.call = ask->call;
+	m.known = p->links->ops->state(p->links->ctx, ask->id, &state);
+	m.state = state;
+	e.body_case = KW__ENVELOPE__BODY_STATE_REPLY;
+	e.state_reply = &m;
+	link_send(p->link, &e, 0);
+}
+
+static void take_advice(struct links *l, const Cell__AdviceReply *m)
+{
+	g_autofree struct ticket *ticket = g_new0(struct ticket, m->n_ticket + 1);
+
+	for (size_t i = 0; i < m->n_ticket; i++) {
+		ticket[i].runner = m->ticket[i]->runner;
+		ticket[i].ticket = m->ticket[i]->ticket;
+	}
+	for (guint i = 0; i < l->question->len; i++) {
+		if (g_array_index(l->question, struct question, i).call != m->call)
+			continue;
+		answer_advice(l, i, m->answered, ticket, m->n_ticket, m->validity_ms);
+		return;
+	}
+}
+
+static void on_peer_message(void *ctx, struct link *link, const Kw__Envelope *e, uint32_t size)
+{
+	struct peer *p = ctx;
+
+	if (e->body_case == KW__ENVELOPE__BODY_LINK_HELLO) {
+		g_free(p->name);
+		p->name = g_strdup(e->link_hello->node);
+		g_free(p->dc);
+		p->dc = g_strdup(e->link_hello->dc);
+		p->weak = e->link_hello->weak;
+		log_info("accept", p->name, "linked");
+		p->links->ops->peers(p->links->ctx, p->links->peer->len);
+	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
+		reply_state(p, e->state_ask);
+	} else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_REPLY) {
+		take_advice(p->links, e->advice_reply);
+	} else if (e->body_case == KW__ENVELOPE__BODY_APPEND_ASK) {
+		p->links->ops->append(p->links->ctx, p, e->append_ask);
+	} else {
+		p->links->ops->replied(p->links->ctx, e);
+	}
+}
+
+static void on_peer_closed(void *ctx, struct link *link, const char *why)
+{
+	struct peer *p = ctx;
+
+	log_info("link", p->name, "link lost: %s", why);
+	drop_peer(p);
+}
+
+static const struct link_ops peer_ops = { .message = on_peer_message, .closed = on_peer_closed };
+
+void linkpeers_add(struct links *l, GSocketConnection *conn)
+{
+	struct peer *p = g_new0(struct peer, 1);
+
+	links_bound_silence(conn);
+	p->links = l;
+	p->link = link_create(conn, &links_conf, &peer_ops, p);
+	g_ptr_array_add(l->peer, p);
+	l->ops->peers(l->ctx, l->peer->len);
+}
+
+void links_drop_peers(struct links *l)
+{
+	while (l->peer->len)
+		drop_peer(l->peer->pdata[0]);
+}
+
+void links_appended(struct links *l, const struct peer *p, uint64_t call, enum store_result result)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
+	guint i;
+
+	if (!g_ptr_array_find(l->peer, p, &i))
+		return;
+	m.call = call;
+	m.stored = result == STORE_OK;
+	m.refused = result == STORE_REFUSED;
+	e.body_case = KW__ENVELOPE__BODY_APPEND_REPLY;
+	e.append_reply = &m;
+	link_send(p->link, &e, 0);
+}
+
+bool links_ask_advice(struct links *l, uint64_t call, const char *step, const char *const *runner,
+		      size_t n, uint64_t cost_us, uint64_t own_us)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AdviceAsk m = CELL__ADVICE_ASK__INIT;
+	struct question q = { .call = call, .cost_us = cost_us };
+
+	for (guint i = 0; i < l->peer->len; i++) {
+		struct peer *p = l->peer->pdata[i];
+
+		if (p->name && p->load_us < own_us && (!q.peer || p->load_us < q.peer->load_us))
+			q.peer = p;
+	}
+	if (!q.peer)
+		return false;
+	m.call = call;
+	m.step = (char *)step;
+	m.runner = (char **)runner;
+	m.n_runner = n;
+	e.body_case = KW__ENVELOPE__BODY_ADVICE_ASK;
+	e.advice_ask = &m;
+	if (!link_send(q.peer->link, &e, 0))
+		return false;
+	q.until_ms = node_now_ms() + ASK_TIMEOUT_MS;
+	q.peer->load_us += cost_us;
+	g_array_append_val(l->question, q);
+	return true;
+}
+
+/* Highest random weight: a change of the links moves few runners. */
+static uint64_t weight(const struct peer *p, const char *dc, const char *runner)
+{
+	uint64_t hash = XXH3_64bits_withSeed(runner, strlen(runner), g_str_hash(p->name));
+
+	return (hash >> 1) | (g_strcmp0(p->dc, dc) == 0 ? UINT64_C(1) << 63 : 0);
+}
+
+struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank)
+{
+	uint64_t below = UINT64_MAX;
+	struct peer *best = NULL;
+
+	if (l->peer->len == 0)
+		return NULL;
+	rank %= l->peer->len;
+	for (uint32_t i = 0; i <= rank; i++) {
+		uint64_t best_weight = 0;
+		struct peer *found = NULL;
+
+		for (guint k = 0; k < l->peer->len; k++) {
+			struct peer *p = l->peer->pdata[k];
+			uint64_t w = p->name ? weight(p, dc, runner) : 0;
+
+			if (w && w < below && w > best_weight) {
+				found = p;
+				best_weight = w;
+			}
+		}
+		if (!found)
+			break;
+		best = found;
+		below = best_weight;
+	}
+	return best;
+}
+
+uint32_t links_count(const struct links *l)
+{
+	return l->peer->len;
+}
+
+const char *links_successor(const struct links *l)
+{
+	const char *name = "";
+
+	for (guint i = 0; i < l->peer->len; i++) {
+		const struct peer *p = l->peer->pdata[i];
+
+		if (p->name && !p->weak)
+			return p->name;
+		if (p->name)
+			name = p->name;
+	}
+	return name;
+}
+
+bool links_give(struct peer *p, const Kw__Envelope *e)
+{
+	return link_send(p->link, e, 0) > 0;
+}
+
+void linkpeers_tick(struct links *l, int64_t now_ms)
+{
+	for (guint i = l->question->len; i > 0; i--)
+		if (g_array_index(l->question, struct question, i - 1).until_ms <= now_ms)
+			answer_advice(l, i - 1, false, NULL, 0, 0);
+}
+
+void linkpeers_create(struct links *l)
+{
+	l->peer = g_ptr_array_new();
+	l->question = g_array_new(FALSE, FALSE, sizeof(struct question));
+}
+
+void linkpeers_destroy(struct links *l)
+{
+	links_drop_peers(l);
+	g_array_unref(l->question);
+	g_ptr_array_unref(l->peer);
+}
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -47,8 +47,8 @@
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
 /* links_follow - keeps a link to address ("IP:PORT"); "" for none. */
 void links_follow(struct links *l, const char *address, uint64_t term);
-/* links_lead - drops the nodes that are linked and are not asked any more, when lead is false. */
-void links_lead(struct links *l, bool lead);
+/* links_drop_peers - ends the links of the nodes that are linked to this one. */
+void links_drop_peers(struct links *l);
 /* STORE_OK, STORE_REFUSED, or STORE_UNKNOWN if the scheduler did not say. */
 typedef void (*stored_fn)(void *ctx, enum store_result result);
 /*
--- /dev/null
+++ b/packages/node/connection/links_priv.h
@@ -0,0 +1,51 @@
+#ifndef NODE_LINKS_PRIV_H
+#define NODE_LINKS_PRIV_H
+
+#include "link.h"
+#include "links.h"
+
+/*
+ * Parts of links: links.c creates and listens, linkpeers.c holds the nodes that are linked to this
+ * one, uplink.c the link to the scheduler.
+ */
+
+struct links {
+	char *self;
+	char *dc;
+	bool weak;
+	const struct links_ops *ops;
+	void *ctx;
+	GSocketService *service;
+	GPtrArray *peer;  /* of struct peer */
+	GArray *question; /* of struct question, to peers */
+	/* The link to the scheduler. */
+	struct link *up;
+	char *address;
+	uint64_t term;
+	bool dialling;
+	GCancellable *dial;
+	int64_t dial_ms;
+	GArray *call; /* of struct up_call */
+	uint64_t next_call;
+	guint timer;
+};
+
+extern const struct link_conf links_conf;
+
+/* links_bound_silence - ends the connection when its other side is out of reach. */
+void links_bound_silence(GSocketConnection *conn);
+
+/* linkpeers_add - a node that has linked to this one. */
+void linkpeers_add(struct links *l, GSocketConnection *conn);
+/* linkpeers_create, linkpeers_destroy - the part of l that holds peers; each loss is told. */
+void linkpeers_create(struct links *l);
+void linkpeers_destroy(struct links *l);
+/* linkpeers_tick - ends questions without an answer. */
+void linkpeers_tick(struct links *l, int64_t now_ms);
+
+void uplink_create(struct links *l);
+void uplink_destroy(struct links *l);
+/* uplink_tick - ends calls without an answer, and dials when it is time. */
+void uplink_tick(struct links *l, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/node/connection/uplink.c
@@ -0,0 +1,265 @@
+#define G_LOG_DOMAIN "links"
+
+#include "links_priv.h"
+#include "log.h"
+
+#define DIAL_RETRY_MS	 300
+#define DIAL_TIMEOUT_S	 2
+#define STATE_TIMEOUT_MS 400 /* then the store is read instead */
+
+/* A question to the scheduler, about a state or with a record to append. */
+struct up_call {
+	uint64_t number;
+	int64_t until_ms;
+	state_fn fn;
+	stored_fn stored; /* one of them */
+	void *ctx;
+};
+
+static struct up_call take_call_at(struct links *l, guint i)
+{
+	struct up_call c = g_array_index(l->call, struct up_call, i);
+
+	g_array_remove_index_fast(l->call, i);
+	return c;
+}
+
+/* False if nobody waits for it any more. */
+static bool take_call(struct links *l, uint64_t number, struct up_call *c)
+{
+	for (guint i = 0; i < l->call->len; i++) {
+		if (g_array_index(l->call, struct up_call, i).number != number)
+			continue;
+		*c = take_call_at(l, i);
+		return true;
+	}
+	return false;
+}
+
+/* No answer came, or none will. */
+static void finish_lost(struct links *l, guint i)
+{
+	struct up_call c = take_call_at(l, i);
+
+	if (c.stored)
+		c.stored(c.ctx, STORE_UNKNOWN);
+	else
+		c.fn(c.ctx, false, JOB_QUEUED);
+}
+
+static void close_up(struct links *l)
+{
+	struct link *up = l->up;
+
+	l->up = NULL;
+	link_destroy(up);
+	while (l->call->len)
+		finish_lost(l, l->call->len - 1);
+}
+
+static void take_state(struct links *l, const Cell__StateReply *m)
+{
+	struct up_call c;
+
+	if (take_call(l, m->call, &c) && c.fn)
+		c.fn(c.ctx, m->known, (enum job_state)m->state);
+}
+
+static void take_stored(struct links *l, const Cell__AppendReply *m)
+{
+	struct up_call c;
+
+	if (take_call(l, m->call, &c) && c.stored)
+		c.stored(c.ctx, m->stored ? STORE_OK : m->refused ? STORE_REFUSED : STORE_UNKNOWN);
+}
+
+static void on_up_message(void *ctx, struct link *link, const Kw__Envelope *e, uint32_t size)
+{
+	struct links *l = ctx;
+
+	if (e->body_case == KW__ENVELOPE__BODY_STATE_REPLY)
+		take_state(l, e->state_reply);
+	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_REPLY)
+		take_stored(l, e->append_reply);
+	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
+		l->ops->ask(l->ctx, e->advice_ask->call, e->advice_ask->step,
+			    (const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
+	else
+		l->ops->order(l->ctx, e);
+}
+
+static void on_up_closed(void *ctx, struct link *link, const char *why)
+{
+	struct links *l = ctx;
+
+	log_info("link", l->address, "link to the scheduler lost: %s", why);
+	l->dial_ms = 0;
+	close_up(l);
+}
+
+static const struct link_ops up_ops = { .message = on_up_message, .closed = on_up_closed };
+
+static void greet(struct links *l)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LinkHello m = CELL__LINK_HELLO__INIT;
+
+	m.node = l->self;
+	m.term = l->term;
+	m.dc = l->dc;
+	m.weak = l->weak;
+	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
+	e.link_hello = &m;
+	link_send(l->up, &e, 0);
+}
+
+static void on_dialled(GObject *src, GAsyncResult *res, gpointer data)
+{
+	g_autoptr(GError) err = NULL;
+	g_autoptr(GSocketConnection) conn =
+		g_socket_client_connect_to_host_finish(G_SOCKET_CLIENT(src), res, &err);
+	struct links *l = data;
+
+	if (g_error_matches(err, G_IO_ERROR, G_IO_ERROR_CANCELLED))
+		return;
+	l->dialling = false;
+	if (!conn) {
+		log_info("dial", l->address, "%s", err->message);
+		l->dial_ms = node_now_ms() + DIAL_RETRY_MS;
+		if (g_error_matches(err, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED))
+			l->ops->refused(l->ctx);
+		return;
+	}
+	links_bound_silence(conn);
+	l->up = link_create(conn, &links_conf, &up_ops, l);
+	greet(l);
+}
+
+static void dial(struct links *l)
+{
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+
+	g_socket_client_set_enable_proxy(client, FALSE);
+	g_socket_client_set_timeout(client, DIAL_TIMEOUT_S);
+	l->dialling = true;
+	g_clear_object(&l->dial);
+	l->dial = g_cancellable_new();
+	g_socket_client_connect_to_host_async(client, l->address, 0, l->dial, on_dialled, l);
+}
+
+void links_follow(struct links *l, const char *address, uint64_t term)
+{
+	if (l->dial)
+		g_cancellable_cancel(l->dial);
+	l->dialling = false;
+	l->dial_ms = 0;
+	l->term = term;
+	g_free(l->address);
+	l->address = g_strdup(address);
+	if (l->up)
+		close_up(l);
+}
+
+static bool send_call(struct links *l, const Kw__Envelope *e, const struct up_call *c)
+{
+	if (!link_send(l->up, e, 0))
+		return false;
+	g_array_append_vals(l->call, c, 1);
+	return true;
+}
+
+bool links_ask_state(struct links *l, const char *id, state_fn fn, void *ctx)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__StateAsk m = CELL__STATE_ASK__INIT;
+	struct up_call c = { .fn = fn, .ctx = ctx };
+
+	if (!l->up)
+		return false;
+	c.number = ++l->next_call;
+	c.until_ms = node_now_ms() + STATE_TIMEOUT_MS;
+	m.call = c.number;
+	m.id = (char *)id;
+	e.body_case = KW__ENVELOPE__BODY_STATE_ASK;
+	e.state_ask = &m;
+	return send_call(l, &e, &c);
+}
+
+bool links_ask_append(struct links *l, const char *key, const uint8_t *value, size_t size,
+		      uint32_t within_ms, stored_fn fn, void *ctx)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AppendAsk m = CELL__APPEND_ASK__INIT;
+	struct up_call c = { .stored = fn, .ctx = ctx };
+
+	if (!l->up)
+		return false;
+	c.number = ++l->next_call;
+	c.until_ms = node_now_ms() + within_ms;
+	m.call = c.number;
+	m.key = (char *)key;
+	m.value.data = (uint8_t *)value;
+	m.value.len = size;
+	m.within_ms = within_ms;
+	e.body_case = KW__ENVELOPE__BODY_APPEND_ASK;
+	e.append_ask = &m;
+	return send_call(l, &e, &c);
+}
+
+void links_advised(struct links *l, uint64_t call, bool answered, const struct ticket *ticket,
+		   size_t n, uint32_t validity_ms)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__AdviceReply m = CELL__ADVICE_REPLY__INIT;
+	g_autofree Cell__Ticket *row = g_new(Cell__Ticket, n + 1);
+	g_autofree Cell__Ticket **rows = g_new(Cell__Ticket *, n + 1);
+
+	if (!l->up)
+		return;
+	for (size_t i = 0; i < n; i++) {
+		row[i] = (Cell__Ticket)CELL__TICKET__INIT;
+		row[i].runner = (char *)ticket[i].runner;
+		row[i].ticket = (char *)ticket[i].ticket;
+		rows[i] = &row[i];
+	}
+	m.call = call;
+	m.answered = answered;
+	m.validity_ms = validity_ms;
+	m.ticket = rows;
+	m.n_ticket = n;
+	e.body_case = KW__ENVELOPE__BODY_ADVICE_REPLY;
+	e.advice_reply = &m;
+	link_send(l->up, &e, 0);
+}
+
+void links_reply(struct links *l, const Kw__Envelope *e)
+{
+	if (l->up)
+		link_send(l->up, e, 0);
+}
+
+void uplink_tick(struct links *l, int64_t now_ms)
+{
+	for (guint i = l->call->len; i > 0; i--)
+		if (g_array_index(l->call, struct up_call, i - 1).until_ms <= now_ms)
+			finish_lost(l, i - 1);
+	if (!l->up && !l->dialling && l->address && *l->address && l->dial_ms <= now_ms)
+		dial(l);
+}
+
+void uplink_create(struct links *l)
+{
+	l->call = g_array_new(FALSE, FALSE, sizeof(struct up_call));
+}
+
+void uplink_destroy(struct links *l)
+{
+	if (l->dial) {
+		g_cancellable_cancel(l->dial);
+		g_object_unref(l->dial);
+	}
+	if (l->up)
+		close_up(l);
+	g_array_unref(l->call);
+	g_free(l->address);
+}
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -384,7 +384,7 @@
 		scheduler_destroy(s);
 	}
 	joblog_follow(n->log);
-	links_lead(n->links, false);
+	links_drop_peers(n->links);
 	relay_clear(n->relay);
 	helper_clear(n->helper, false);
 	g_hash_table_remove_all(n->asks);
