--- /dev/null
+++ b/packages/node/process/joblog_append.c
@@ -0,0 +1,163 @@
+#include "joblog_priv.h"
+
+#define APPEND_MIN_MS  700    /* a store 90 times as slow answers within it */
+#define APPEND_FACTOR  4      /* of the time that appends took lately */
+#define TRIES_MAX      3      /* of a record of a caller, who does better with another node then */
+#define CALL_BYTES_MAX 262144 /* of an append; far below the platform's limit of a call */
+
+struct pending {
+	char *key;
+	uint8_t *value;
+	size_t size;
+	int64_t until_ms;
+	bool in_doubt; /* some try had no answer */
+	uint32_t tries;
+	done_fn fn;
+	void *ctx;
+};
+
+static void pending_free(struct pending *p)
+{
+	g_free(p->key);
+	g_free(p->value);
+	g_free(p);
+}
+
+static void finish(struct pending *p, enum store_result result)
+{
+	p->fn(p->ctx, result);
+	pending_free(p);
+}
+
+uint32_t joblog_append_timeout(const struct joblog *j)
+{
+	return (uint32_t)CLAMP(j->append_ms * APPEND_FACTOR, APPEND_MIN_MS, APPEND_MAX_MS);
+}
+
+void joblog_note_append(struct joblog *j, enum store_result result, int64_t took_ms)
+{
+	if (result == STORE_UNKNOWN)
+		j->append_ms = MIN(MAX(j->append_ms, APPEND_MIN_MS / APPEND_FACTOR) * 2,
+				   APPEND_MAX_MS / APPEND_FACTOR);
+	else
+		j->append_ms = (j->append_ms * 3 + took_ms) / 4;
+}
+
+/* Whether another try is better than telling the caller, who can ask another node. */
+static bool worth_a_try(const struct joblog *j, const struct pending *p, int64_t now)
+{
+	if (joblog_away(j) || p->tries >= TRIES_MAX)
+		return false;
+	return now + RETRY_MS < p->until_ms;
+}
+
+/* The scheduler need not read what it has appended. */
+static void skip_own(struct joblog *j, enum store_result result, uint64_t offset, uint32_t n)
+{
+	struct reader *r = &j->reader[JOBLOG_JOBS];
+
+	if (result == STORE_OK && j->leading && !r->after && offset == r->next)
+		r->next += n;
+}
+
+static void on_jobs_appended(void *ctx, enum store_result result, uint64_t offset)
+{
+	struct joblog *j = ctx;
+	GPtrArray *sent = j->sent;
+	int64_t now = node_now_ms();
+
+	j->sent = NULL;
+	joblog_note_answer(j, result);
+	joblog_note_append(j, result, now - j->sent_ms);
+	skip_own(j, result, offset, sent->len);
+	for (guint i = sent->len; i > 0; i--) {
+		struct pending *p = sent->pdata[i - 1];
+
+		p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
+		p->tries++;
+		if (result == STORE_OK) {
+			if (j->leading)
+				book_apply(j->book, p->key, p->value, p->size);
+			finish(p, STORE_OK);
+		} else if (worth_a_try(j, p, now))
+			g_queue_push_head(&j->queue, p);
+		else
+			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
+	}
+	g_ptr_array_unref(sent);
+	j->append_due_ms = result == STORE_OK ? now : now + RETRY_MS;
+	joblog_send_appends(j);
+}
+
+static void give_up_late(struct joblog *j, int64_t now)
+{
+	for (GList *i = j->queue.head; i;) {
+		GList *next = i->next;
+		struct pending *p = i->data;
+
+		if (p->until_ms <= now) {
+			g_queue_delete_link(&j->queue, i);
+			finish(p, p->in_doubt ? STORE_UNKNOWN : STORE_REFUSED);
+		}
+		i = next;
+	}
+}
+
+void joblog_send_appends(struct joblog *j)
+{
+	g_autoptr(GPtrArray) records = NULL;
+	struct append_terms terms = { 0 };
+	int64_t now = node_now_ms();
+	int64_t timeout = joblog_append_timeout(j);
+	size_t bytes = 0;
+
+	if (j->sent || j->append_due_ms > now)
+		return;
+	give_up_late(j, now);
+	if (g_queue_is_empty(&j->queue))
+		return;
+	records = g_ptr_array_new_with_free_func(g_free);
+	j->sent = g_ptr_array_new();
+	while (!g_queue_is_empty(&j->queue) && bytes < CALL_BYTES_MAX) {
+		struct pending *p = g_queue_pop_head(&j->queue);
+		struct log_record *rec = g_new0(struct log_record, 1);
+
+		rec->key = p->key;
+		rec->value = p->value;
+		rec->size = p->size;
+		bytes += p->size;
+		timeout = MIN(timeout, MAX(p->until_ms - now, RETRY_MS));
+		g_ptr_array_add(records, rec);
+		g_ptr_array_add(j->sent, p);
+	}
+	j->sent_ms = now;
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_JOBS, records, &terms, (uint32_t)timeout,
+			     on_jobs_appended, j);
+}
+
+void joblog_append(struct joblog *j, const char *key, uint8_t *value, size_t size, int64_t until_ms,
+		   done_fn fn, void *ctx)
+{
+	struct pending *p;
+
+	if (joblog_away(j)) {
+		g_free(value);
+		fn(ctx, STORE_REFUSED);
+		return;
+	}
+	p = g_new0(struct pending, 1);
+	p->key = g_strdup(key);
+	p->value = value;
+	p->size = size;
+	p->until_ms = until_ms;
+	p->fn = fn;
+	p->ctx = ctx;
+	g_queue_push_tail(&j->queue, p);
+	joblog_send_appends(j);
+}
+
+void joblog_drop_appends(struct joblog *j)
+{
+	while (!g_queue_is_empty(&j->queue))
+		pending_free(g_queue_pop_head(&j->queue));
+}
--- /dev/null
+++ b/packages/node/process/joblog_read.c
@@ -0,0 +1,177 @@
+#define G_LOG_DOMAIN "joblog"
+
+#include "joblog_priv.h"
+#include "log.h"
+
+#define FOLLOW_MS    1000 /* between reads of a follower; waiting counts may be 2 s old */
+#define LEAD_READ_MS 300  /* between reads of the scheduler: most jobs come by way of it */
+
+struct read_call {
+	struct reader *reader;
+	uint32_t generation;
+};
+
+void joblog_reader_reset(struct reader *r)
+{
+	r->generation++;
+	r->reading = false;
+	r->next = 0;
+	r->load_next = 0;
+	r->due_ms = 0;
+	g_free(r->after);
+	r->after = g_strdup("");
+}
+
+static bool reads_part(const struct joblog *j, uint32_t part)
+{
+	return !j->leading || part == JOBLOG_JOBS;
+}
+
+static void apply(struct joblog *j, const struct store_page *page)
+{
+	for (size_t i = 0; i < page->n; i++) {
+		const struct store_record *rec = &page->record[i];
+
+		if (!rec->key || !book_apply(j->book, rec->key, rec->value, rec->size))
+			log_warn("read", NULL, "unreadable record at offset %" G_GUINT64_FORMAT,
+				 rec->offset);
+	}
+}
+
+/* A page of the newest records; those that were written meanwhile are read afterwards. */
+static void take_newest(struct reader *r, const struct store_page *page)
+{
+	if (!*r->after)
+		r->load_next = page->next;
+	g_free(r->after);
+	r->after = NULL;
+	if (page->more && page->n) {
+		r->after = g_strdup(page->record[page->n - 1].key);
+		return;
+	}
+	r->next = r->load_next;
+}
+
+static void read_part(struct reader *r);
+
+/* A read that is under way may have been answered before the refresh was asked for. */
+static void begin_refresh(struct joblog *j)
+{
+	j->refreshing = true;
+	for (uint32_t i = 0; i < PARTS; i++) {
+		struct reader *r = &j->reader[i];
+
+		r->end_seen = false;
+		r->generation += r->reading ? 1 : 0;
+		r->reading = false;
+		if (reads_part(j, i))
+			read_part(r);
+	}
+}
+
+static void finish_refresh(struct joblog *j, enum store_result result)
+{
+	GArray *waiter = j->waiter;
+
+	j->refreshing = false;
+	j->waiter = j->waiter_next;
+	j->waiter_next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	if (j->waiter->len)
+		begin_refresh(j);
+	for (guint i = 0; i < waiter->len; i++) {
+		const struct waiter *w = &g_array_index(waiter, struct waiter, i);
+
+		w->fn(w->ctx, result);
+	}
+	g_array_unref(waiter);
+}
+
+static void check_refresh(struct joblog *j)
+{
+	for (uint32_t i = 0; i < PARTS; i++)
+		if (reads_part(j, i) && !j->reader[i].end_seen)
+			return;
+	j->loaded = true;
+	if (j->refreshing)
+		finish_refresh(j, STORE_OK);
+}
+
+static void on_page(void *ctx, enum store_result result, const struct store_page *page)
+{
+	struct read_call *call = ctx;
+	struct reader *r = call->reader;
+	struct joblog *j = r->log;
+	bool current = call->generation == r->generation;
+	bool was_load = r->after != NULL;
+
+	g_free(call);
+	if (!current)
+		return;
+	r->reading = false;
+	r->due_ms = node_now_ms();
+	joblog_note_answer(j, result);
+	if (result == STORE_TRIMMED) {
+		/* Records were lost from the log before they were read: start over. */
+		log_warn("read", NULL, "the log was trimmed past offset %" G_GUINT64_FORMAT,
+			 r->next);
+		if (j->leading || j->fencing)
+			j->ops->fenced(j->ctx);
+		else
+			joblog_reset_book(j);
+		return;
+	}
+	if (result != STORE_OK) {
+		r->due_ms += RETRY_MS;
+		if (j->refreshing && !j->fencing)
+			finish_refresh(j, result);
+		return;
+	}
+	apply(j, page);
+	if (was_load) {
+		take_newest(r, page);
+		return;
+	}
+	if (page->n)
+		r->next = MAX(r->next, page->record[page->n - 1].offset + 1);
+	if (r->next < page->next)
+		return;
+	r->end_seen = true;
+	r->due_ms += j->leading ? LEAD_READ_MS : FOLLOW_MS;
+	check_refresh(j);
+}
+
+static void read_part(struct reader *r)
+{
+	struct joblog *j = r->log;
+	struct read_call *call = g_new(struct read_call, 1);
+
+	call->reader = r;
+	call->generation = r->generation;
+	r->reading = true;
+	if (r->after)
+		j->store.ops->newest(j->store.impl, TOPIC, r->part, r->after, on_page, call);
+	else
+		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next, 0, on_page, call);
+}
+
+void joblog_refresh(struct joblog *j, done_fn fn, void *ctx)
+{
+	struct waiter w = { .fn = fn, .ctx = ctx };
+
+	if (j->refreshing) {
+		g_array_append_val(j->waiter_next, w);
+		return;
+	}
+	g_array_append_val(j->waiter, w);
+	begin_refresh(j);
+}
+
+void joblog_read_tick(struct joblog *j, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < PARTS; i++) {
+		struct reader *r = &j->reader[i];
+
+		if (!r->reading && r->due_ms <= now_ms && reads_part(j, i))
+			read_part(r);
+	}
+}
