--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -101,3 +101,35 @@
 	else
 		log_runner(d);
 }
+
+static int64_t percent(int64_t part, int64_t whole)
+{
+	return whole ? part * 100 / whole : 0;
+}
+
+static void log_pool(void *ctx, const struct scheduler_pool *p)
+{
+	log_info("pool", p->service,
+		 "%u runners, used: cpu %" G_GINT64_FORMAT "%%, memory %" G_GINT64_FORMAT
+		 "%%, accelerators %" G_GINT64_FORMAT "%%",
+		 p->runners, percent(p->used.cpu_milli, p->room.cpu_milli),
+		 percent(p->used.mem_bytes, p->room.mem_bytes),
+		 percent(p->used.accel, p->room.accel));
+}
+
+void decisions_log_sums(const struct scheduler *scheduler)
+{
+	struct scheduler_sums s;
+
+	scheduler_sums(scheduler, &s);
+	log_info("sums", NULL,
+		 "open jobs %u, runs %u, runners %u (%u silent), starts %" G_GUINT64_FORMAT
+		 ", refused %" G_GUINT64_FORMAT ", done %" G_GUINT64_FORMAT
+		 ", failed %" G_GUINT64_FORMAT ", lost %" G_GUINT64_FORMAT
+		 ", asked %" G_GUINT64_FORMAT
+		 "; waiting tasks %u, gangs %u, steps without room %u, asking %u, not asked %u",
+		 s.open_jobs, s.runs, s.runners, s.silent_runners, s.starts, s.refused,
+		 s.ends[END_DONE], s.ends[END_FAILED], s.lapsed, s.asks, s.waiting_tasks,
+		 s.gangs_waiting, s.steps_without_room, s.steps_asking, s.steps_not_asked);
+	scheduler_each_pool(scheduler, log_pool, NULL);
+}
--- a/packages/node/process/decisions.h
+++ b/packages/node/process/decisions.h
@@ -8,5 +8,7 @@
 
 /* decisions_note - of the scheduler of this term. */
 void decisions_note(const struct decision *d, struct metrics *metrics, uint64_t term);
+/* decisions_log_sums - what the scheduler has done so far, and how full its pools are. */
+void decisions_log_sums(const struct scheduler *scheduler);
 
 #endif
