Tests of taking over stand by themselves; one copy of a question's runners

Change: advice_copy_runners(); test_takeover.c; the bed has what several tests set up (bed_plain, bed_run).

--- a/packages/cell/process/advice.c
+++ b/packages/cell/process/advice.c
@@ -92,6 +92,15 @@
 	get(a, handle)->verdict = VERDICT_DENIED;
 }
 
+char **advice_copy_runners(const char *const *runner, size_t n)
+{
+	char **copy = g_new0(char *, n + 1);
+
+	for (size_t i = 0; i < n; i++)
+		copy[i] = g_strdup(runner[i]);
+	return copy;
+}
+
 void advice_spoil(struct advice *a, uint32_t handle)
 {
 	struct row *row = find(a, handle);
--- a/packages/cell/process/advice.h
+++ b/packages/cell/process/advice.h
@@ -2,6 +2,7 @@
 #define CELL_ADVICE_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /*
@@ -33,6 +34,8 @@
 int64_t advice_valid_until_ms(const struct advice *a, uint32_t handle);
 void advice_approve(struct advice *a, uint32_t handle, const char *ticket, int64_t valid_until_ms);
 void advice_deny(struct advice *a, uint32_t handle);
+/* advice_copy_runners - of a question; to be freed with g_strfreev(). */
+char **advice_copy_runners(const char *const *runner, size_t n);
 /* advice_spoil - the runner didn't take the ticket. */
 void advice_spoil(struct advice *a, uint32_t handle);
 
--- a/packages/node/process/helper.c
+++ b/packages/node/process/helper.c
@@ -1,4 +1,5 @@
 #include "helper.h"
+#include "process/advice.h"
 
 struct question {
 	struct helper *helper;
@@ -64,9 +65,7 @@
 	q->call = call;
 	q->remote = remote;
 	q->step = g_strdup(step);
-	q->runner = g_new0(char *, n + 1);
-	for (size_t i = 0; i < n; i++)
-		q->runner[i] = g_strdup(runner[i]);
+	q->runner = advice_copy_runners(runner, n);
 	q->n = n;
 	q->cost_us = cost_us;
 	h->load_us += cost_us;
--- a/packages/node/process/node_sched.c
+++ b/packages/node/process/node_sched.c
@@ -3,6 +3,7 @@
 #include "decisions.h"
 #include "log.h"
 #include "node_priv.h"
+#include "process/advice.h"
 
 /* An answer that the scheduler of one term waits for. */
 struct order {
@@ -127,9 +128,7 @@
 	a->asked_ms = node_now_ms();
 	a->step = g_strdup(step);
 	a->n = count;
-	a->runner = g_new0(char *, count + 1);
-	for (size_t i = 0; i < count; i++)
-		a->runner[i] = g_strdup(runner[i]);
+	a->runner = advice_copy_runners(runner, count);
 	g_hash_table_insert(n->asks, GUINT_TO_POINTER(call), a);
 	/* With equal load another node asks: this one has more to do. */
 	if (!links_ask_advice(n->links, call, step, runner, count, cost_us,
--- a/tests/cell/bed.c
+++ b/tests/cell/bed.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "bed.h"
+#include "process/advice.h"
 
 #define BORN_MS 1000
 #define MIB	1048576
@@ -44,10 +45,10 @@
 		   uint64_t cost_us)
 {
 	struct bed *b = ctx;
-	struct bed_ask a = { .step = g_strdup(step), .runner = g_new0(char *, n + 1), .n = n };
+	struct bed_ask a = { .step = g_strdup(step),
+			     .runner = advice_copy_runners(runner, n),
+			     .n = n };
 
-	for (size_t i = 0; i < n; i++)
-		a.runner[i] = g_strdup(runner[i]);
 	g_array_append_val(b->ask, a);
 	b->asks++;
 }
@@ -393,3 +394,32 @@
 {
 	return book_find(b->book, id);
 }
+
+struct bed *bed_plain(uint32_t runners, int64_t cpu_milli)
+{
+	struct bed *b = bed_create();
+
+	bed_queue(b, "urgent", "desk", 0, 3, 0);
+	bed_queue(b, "batch", "desk", 2, 3, 0);
+	bed_begin(b);
+	for (uint32_t i = 0; i < runners; i++) {
+		g_autofree char *id = g_strdup_printf("r%u", i);
+
+		bed_runner(b, id, "desk", i % 2 ? "rack1" : "rack0", cpu_milli, 0);
+	}
+	bed_settle(b);
+	return b;
+}
+
+struct bed_start *bed_start_at(struct bed *b, guint i)
+{
+	return &g_array_index(b->start, struct bed_start, i);
+}
+
+void bed_run(struct bed *b, Cell__Job *job)
+{
+	bed_submit(b, job);
+	bed_pass(b, 1);
+	bed_ack(b);
+	bed_accept_all(b);
+}
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -90,5 +90,11 @@
 /* bed_advise - approves those of the oldest question that are in approved ("" for all). */
 bool bed_advise(struct bed *b, const char *approved, int64_t validity_ms);
 struct plan *bed_plan(struct bed *b, const char *id);
+/* bed_plain - a bed with queues "urgent" and "batch", and runners "r0", "r1", ... in two racks. */
+struct bed *bed_plain(uint32_t runners, int64_t cpu_milli);
+/* bed_run - submits the job and lets all start that has room. */
+void bed_run(struct bed *b, Cell__Job *job);
+/* bed_start_at - the i-th start that was not answered. */
+struct bed_start *bed_start_at(struct bed *b, guint i);
 
 #endif
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "process/advice.h"
 #include "sim_priv.h"
 
 #define START_MS     1000000
@@ -110,9 +111,7 @@
 	by->refs++;
 	by->sim->result->asks++;
 	c->step = g_strdup(step);
-	c->runner = g_new0(char *, n + 1);
-	for (size_t i = 0; i < n; i++)
-		c->runner[i] = g_strdup(runner[i]);
+	c->runner = advice_copy_runners(runner, n);
 	c->n = n;
 	sim_at(by->sim, by->sim->now_ms + by->sim->conf->advise_ms, ask_told, c);
 }
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -6,30 +6,9 @@
 #define ID_B "00000000000000b2"
 #define ID_C "00000000000000c3"
 
-static struct bed *plain_bed(uint32_t runners, int64_t cpu_milli)
-{
-	struct bed *b = bed_create();
-
-	bed_queue(b, "urgent", "desk", 0, 3, 0);
-	bed_queue(b, "batch", "desk", 2, 3, 0);
-	bed_begin(b);
-	for (uint32_t i = 0; i < runners; i++) {
-		g_autofree char *id = g_strdup_printf("r%u", i);
-
-		bed_runner(b, id, "desk", i % 2 ? "rack1" : "rack0", cpu_milli, 0);
-	}
-	bed_settle(b);
-	return b;
-}
-
-static struct bed_start *start_at(struct bed *b, guint i)
-{
-	return &g_array_index(b->start, struct bed_start, i);
-}
-
 Test(scheduler, a_start_waits_for_its_intent)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 2, 100));
 	bed_pass(b, 1);
@@ -37,8 +16,8 @@
 	cr_assert_neq(b->batch, 0);
 	bed_ack(b);
 	cr_assert_eq(b->starts, 2);
-	cr_assert_eq(start_at(b, 0)->run, 1);
-	cr_assert_gt(start_at(b, 0)->deadline_ms, 0);
+	cr_assert_eq(bed_start_at(b, 0)->run, 1);
+	cr_assert_gt(bed_start_at(b, 0)->deadline_ms, 0);
 	bed_destroy(b);
 }
 
@@ -59,7 +38,7 @@
 
 Test(scheduler, room_is_never_given_twice)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 7, 300));
 	bed_pass(b, 1);
@@ -73,12 +52,9 @@
 
 Test(scheduler, done_is_shown_only_once_it_is_in_the_log)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
-	bed_pass(b, 1);
-	bed_ack(b);
-	bed_accept_all(b);
+	bed_run(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_end(b, "r0", 1, ID_A ".0.0.0", 1, END_DONE);
 	bed_pass(b, 1);
 	cr_assert_eq(bed_plan(b, ID_A)->state, JOB_DONE);
@@ -96,17 +72,17 @@
  */
 Test(scheduler, order_without_an_answer)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_pass(b, 1);
 	bed_ack(b);
 	bed_start_answer(b, ID_A ".0.0.0", START_UNKNOWN);
 	cr_assert_eq(b->start->len, 1);
-	cr_assert_eq(start_at(b, 0)->run, 1);
-	cr_assert_eq(start_at(b, 0)->rank, 1);
+	cr_assert_eq(bed_start_at(b, 0)->run, 1);
+	cr_assert_eq(bed_start_at(b, 0)->rank, 1);
 	bed_start_answer(b, ID_A ".0.0.0", START_UNKNOWN);
-	cr_assert_eq(start_at(b, 0)->rank, 2);
+	cr_assert_eq(bed_start_at(b, 0)->rank, 2);
 	bed_start_answer(b, ID_A ".0.0.0", START_UNKNOWN);
 	bed_pass(b, 1);
 	cr_assert_eq(b->start->len, 0);
@@ -117,7 +93,7 @@
 
 Test(scheduler, refused_after_an_order_in_doubt_is_still_in_doubt)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_pass(b, 1);
@@ -143,7 +119,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct bed *b = plain_bed(1, 1000);
+		struct bed *b = bed_plain(1, 1000);
 
 		bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 		bed_pass(b, 1);
@@ -157,7 +133,7 @@
 
 Test(scheduler, a_newer_scheduler_ends_this_one)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_pass(b, 1);
@@ -176,14 +152,14 @@
  */
 Test(scheduler, silent_runner)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 	g_autofree char *runner = NULL;
 	int64_t silent_ms;
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_pass(b, 1);
 	bed_ack(b);
-	runner = g_strdup(start_at(b, 0)->runner);
+	runner = g_strdup(bed_start_at(b, 0)->runner);
 	bed_accept_all(b);
 	silent_ms = b->now_ms;
 	while (b->now_ms - silent_ms < 6000) {
@@ -200,15 +176,15 @@
 	}
 	bed_ack(b);
 	cr_assert_eq(b->start->len, 1);
-	cr_assert_eq(start_at(b, 0)->run, 2);
-	cr_assert_str_neq(start_at(b, 0)->runner, runner);
+	cr_assert_eq(bed_start_at(b, 0)->run, 2);
+	cr_assert_str_neq(bed_start_at(b, 0)->runner, runner);
 	bed_destroy(b);
 }
 
 /* A runner on which nothing ran for longer than a lease is as good as any. */
 Test(scheduler, a_start_on_an_idle_runner_is_not_taken_for_lapsed)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
 	for (int i = 0; i < 20; i++) {
 		bed_pass(b, 1000);
@@ -223,165 +199,9 @@
 	bed_destroy(b);
 }
 
-/*
- * What ran in the old life is over, but an order that was under way may have come to the new one:
- * the task waits until a look at it tells.
- */
-Test(scheduler, a_runner_born_again)
-{
-	struct bed *b = plain_bed(1, 1000);
-	struct runner_info info = { .id = "r0",
-				    .address = "10.0.0.1:80",
-				    .service = "desk",
-				    .zone = "dc",
-				    .rack = "rack0",
-				    .born_ms = 2000,
-				    .room = { 1000, 1 << 30, 0 } };
-
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
-	bed_pass(b, 1);
-	bed_ack(b);
-	bed_accept_all(b);
-	scheduler_runner(b->sched, &info, b->now_ms);
-	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
-	cr_assert(bed_plan(b, ID_A)->dirty, "the log has to tell of the new life");
-	b->born_ms = 2000;
-	bed_settle(b);
-	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2);
-	bed_destroy(b);
-}
-
-static void restart(struct bed *b)
-{
-	g_autoptr(GPtrArray) records = b->records ? g_ptr_array_ref(b->records) : NULL;
-
-	scheduler_destroy(b->sched);
-	b->sched = NULL;
-	for (guint i = 0; records && i < records->len; i++) {
-		const struct log_record *r = records->pdata[i];
-
-		book_apply(b->book, r->key, r->value, r->size);
-	}
-	b->batch = 0;
-	g_clear_pointer(&b->records, g_ptr_array_unref);
-	g_array_set_size(b->start, 0);
-	g_array_set_size(b->look, 0);
-	g_array_set_size(b->stop, 0);
-	bed_begin(b);
-}
-
-/* A new scheduler knows of runs by their intents, and keeps their room until the runner is asked.
- */
-Test(scheduler, takeover_adopts_what_runs)
-{
-	struct bed *b = plain_bed(1, 1000);
-	const struct look_running row = { .task = ID_A ".0.0.0", .run = 1, .checkpoint = "c1" };
-
-	bed_submit(b, bed_job(ID_A, "urgent", 2, 600));
-	bed_pass(b, 1);
-	restart(b);
-	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
-	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
-	bed_pass(b, 1);
-	bed_look_answer(b, "r0", &row, 1, NULL, 0);
-	bed_pass(b, 1);
-	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
-	cr_assert_null(bed_plan(b, ID_A)->task[1].live, "there is no room for the second");
-	cr_assert_str_eq(bed_plan(b, ID_A)->task[0].checkpoint, "c1");
-	bed_destroy(b);
-}
-
-Test(scheduler, takeover_forgets_what_the_runner_does_not_list)
-{
-	struct bed *b = plain_bed(1, 1000);
-
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
-	bed_pass(b, 1);
-	restart(b);
-	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
-	bed_settle(b);
-	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1, "the older one may just have stopped it");
-	bed_pass(b, 1000);
-	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
-	bed_pass(b, 1);
-	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
-	bed_pass(b, 1);
-	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2, "it is placed anew with a higher run");
-	bed_destroy(b);
-}
-
-Test(scheduler, takeover_waits_for_a_runner_out_of_reach)
-{
-	struct bed *b = plain_bed(1, 1000);
-
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
-	bed_pass(b, 1);
-	restart(b);
-	bed_runner(b, "r1", "desk", "rack0", 1000, 0);
-	for (int64_t waited = 0; waited < 15000; waited += 500) {
-		bed_pass(b, 500);
-		bed_look_answer(b, "r1", NULL, 0, NULL, 0);
-		cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1);
-	}
-	bed_pass(b, 600);
-	bed_look_answer(b, "r1", NULL, 0, NULL, 0);
-	bed_pass(b, 1);
-	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2);
-	bed_destroy(b);
-}
-
-/*
- * Two lives of one runner in the store. An order may have come to a newer life than it was noted
- * with (our own day odd-2: TWICE), so both are kept until a look at the runner tells.
- */
-Test(scheduler, takeover_with_two_lives_of_a_runner)
-{
-	Cell__Progress m = CELL__PROGRESS__INIT;
-	Cell__TaskProgress t[2] = { CELL__TASK_PROGRESS__INIT, CELL__TASK_PROGRESS__INIT };
-	Cell__TaskProgress *rows[] = { &t[0], &t[1] };
-	struct bed *b = bed_create();
-	uint8_t buf[256];
-
-	bed_queue(b, "urgent", "desk", 0, 3, 0);
-	bed_submit(b, bed_job(ID_A, "urgent", 2, 100));
-	for (int i = 0; i < 2; i++) {
-		t[i].task = (uint32_t)i;
-		t[i].run = 1;
-		t[i].runner = "r0";
-		t[i].born_ms = 1000 + i * 500;
-	}
-	m.state = JOB_RUNNING;
-	m.task = rows;
-	m.n_task = 2;
-	book_apply(b->book, ID_A "/p", buf, cell__progress__pack(&m, buf));
-	bed_begin(b);
-	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
-	cr_assert_not_null(bed_plan(b, ID_A)->task[1].live);
-	bed_runner(b, "r1", "desk", "rack0", 1000, 0);
-	bed_settle(b);
-	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1, "it may run on the newer life");
-	bed_destroy(b);
-}
-
-Test(scheduler, a_stop_for_a_runner_that_is_not_found_yet_waits)
-{
-	struct bed *b = plain_bed(1, 1000);
-
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
-	bed_pass(b, 1);
-	bed_cancel(b, ID_A);
-	restart(b);
-	bed_pass(b, 1);
-	cr_assert_eq(b->stop->len, 0);
-	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
-	bed_pass(b, 1);
-	cr_assert_eq(b->stop->len, 1);
-	bed_destroy(b);
-}
-
 Test(scheduler, cancelled_jobs_are_stopped_and_not_started)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_submit(b, bed_job(ID_B, "urgent", 1, 100));
@@ -402,12 +222,9 @@
 /* A stop without an answer is sent again until the runner has taken it. */
 Test(scheduler, stops_are_repeated)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
-	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
-	bed_pass(b, 1);
-	bed_ack(b);
-	bed_accept_all(b);
+	bed_run(b, bed_job(ID_A, "urgent", 1, 100));
 	bed_cancel(b, ID_A);
 	for (int i = 0; i < 5; i++)
 		bed_pass(b, 800);
@@ -421,7 +238,7 @@
 
 Test(scheduler, attempts_are_counted)
 {
-	struct bed *b = plain_bed(4, 1000);
+	struct bed *b = bed_plain(4, 1000);
 
 	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
 	for (uint32_t run = 1; run <= 3; run++) {
@@ -434,7 +251,7 @@
 		bed_pass(b, 1);
 		bed_ack(b);
 		cr_assert_eq(b->start->len, 1, "run %u", run);
-		runner = g_strdup(start_at(b, 0)->runner);
+		runner = g_strdup(bed_start_at(b, 0)->runner);
 		bed_accept_all(b);
 		bed_end(b, runner, run, ID_A ".0.0.0", run, END_FAILED);
 		bed_pass(b, 1);
@@ -447,7 +264,7 @@
 
 Test(scheduler, tasks_that_last_are_started_again_however_they_end)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 	Cell__Job *job = bed_job(ID_A, "urgent", 1, 100);
 
 	job->step[0]->lasting = true;
@@ -462,7 +279,7 @@
 		bed_pass(b, 1);
 		bed_ack(b);
 		cr_assert_eq(b->start->len, 1, "run %u", run);
-		runner = g_strdup(start_at(b, 0)->runner);
+		runner = g_strdup(bed_start_at(b, 0)->runner);
 		bed_accept_all(b);
 		bed_end(b, runner, run, ID_A ".0.0.0", run, run % 2 ? END_FAILED : END_DONE);
 		bed_pass(b, 1);
@@ -474,7 +291,7 @@
 
 Test(scheduler, spread)
 {
-	struct bed *b = plain_bed(3, 1000);
+	struct bed *b = bed_plain(3, 1000);
 	Cell__Job *job = bed_job(ID_A, "urgent", 7, 10);
 
 	job->step[0]->spread_max = 2;
@@ -487,7 +304,7 @@
 
 Test(scheduler, labels_and_racks)
 {
-	struct bed *b = plain_bed(4, 1000);
+	struct bed *b = bed_plain(4, 1000);
 	Cell__Job *near = bed_job(ID_A, "urgent", 2, 400);
 	Cell__Job *labelled = bed_job(ID_B, "urgent", 1, 400);
 
@@ -501,14 +318,14 @@
 	bed_ack(b);
 	cr_assert_eq(b->starts, 2, "no runner has the label");
 	for (guint i = 0; i < b->start->len; i++)
-		cr_assert(g_str_equal(start_at(b, i)->runner, "r1") ||
-			  g_str_equal(start_at(b, i)->runner, "r3"));
+		cr_assert(g_str_equal(bed_start_at(b, i)->runner, "r1") ||
+			  g_str_equal(bed_start_at(b, i)->runner, "r3"));
 	bed_destroy(b);
 }
 
 Test(scheduler, gangs_start_whole_or_not_at_all)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 	Cell__Job *big = bed_job(ID_A, "urgent", 3, 600);
 	Cell__Job *fits = bed_job(ID_B, "urgent", 2, 600);
 
@@ -524,13 +341,13 @@
 	bed_pass(b, 1);
 	bed_ack(b);
 	cr_assert_eq(b->starts, 2);
-	cr_assert_eq(start_at(b, 0)->run, start_at(b, 1)->run);
+	cr_assert_eq(bed_start_at(b, 0)->run, bed_start_at(b, 1)->run);
 	bed_destroy(b);
 }
 
 Test(scheduler, a_gang_that_lost_a_member_is_stopped_and_started_with_one_run)
 {
-	struct bed *b = plain_bed(2, 1000);
+	struct bed *b = bed_plain(2, 1000);
 	Cell__Job *job = bed_job(ID_A, "urgent", 2, 600);
 	g_autofree char *runner = NULL;
 
@@ -551,24 +368,21 @@
 	bed_settle(b);
 	bed_ack(b);
 	cr_assert_eq(b->start->len, 2);
-	cr_assert_eq(start_at(b, 0)->run, 2);
-	cr_assert_eq(start_at(b, 1)->run, 2);
+	cr_assert_eq(bed_start_at(b, 0)->run, 2);
+	cr_assert_eq(bed_start_at(b, 1)->run, 2);
 	bed_destroy(b);
 }
 
 /* A runner that fails all it starts looks free all the time; it gets a pause after two in a row. */
 Test(scheduler, a_failing_runner_gets_a_pause)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 
 	for (uint32_t i = 0; i < 2; i++) {
 		g_autofree char *id = g_strdup_printf("00000000000000d%u", i);
 		g_autofree char *task = g_strdup_printf("%s.0.0.0", id);
 
-		bed_submit(b, bed_job(id, "urgent", 1, 100));
-		bed_pass(b, 1);
-		bed_ack(b);
-		bed_accept_all(b);
+		bed_run(b, bed_job(id, "urgent", 1, 100));
 		bed_end(b, "r0", i + 1, task, 1, END_FAILED);
 		bed_pass(b, 1);
 		bed_ack(b);
@@ -583,7 +397,7 @@
 
 Test(scheduler, drained_runners_get_nothing)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 	struct runner_info info = { .id = "r0",
 				    .address = "10.0.0.1:80",
 				    .service = "desk",
@@ -602,7 +416,7 @@
 
 Test(scheduler, unknown_runs_are_stopped)
 {
-	struct bed *b = plain_bed(1, 1000);
+	struct bed *b = bed_plain(1, 1000);
 	const struct look_running rows[] = {
 		{ .task = "00000000000000ff.0.0.0", .run = 1, .checkpoint = "" },
 		{ .task = "what is this", .run = 1, .checkpoint = "" },
@@ -633,7 +447,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct bed *b = plain_bed(1, 1000);
+		struct bed *b = bed_plain(1, 1000);
 		Cell__Job *job = bed_job(ID_A, "urgent", 1, 100);
 		const struct look_running row = {
 			.task = ID_A ".0.0.0", .run = 1, .checkpoint = "", .usage = cases[i].usage
--- /dev/null
+++ b/tests/cell/test_takeover.c
@@ -0,0 +1,160 @@
+#include <criterion/criterion.h>
+
+#include "bed.h"
+
+/* Runners that are born again, and schedulers that take over what others have started. */
+
+#define ID_A "00000000000000a1"
+
+/*
+ * What ran in the old life is over, but an order that was under way may have come to the new one:
+ * the task waits until a look at it tells.
+ */
+Test(scheduler, a_runner_born_again)
+{
+	struct bed *b = bed_plain(1, 1000);
+	struct runner_info info = { .id = "r0",
+				    .address = "10.0.0.1:80",
+				    .service = "desk",
+				    .zone = "dc",
+				    .rack = "rack0",
+				    .born_ms = 2000,
+				    .room = { 1000, 1 << 30, 0 } };
+
+	bed_run(b, bed_job(ID_A, "urgent", 1, 100));
+	scheduler_runner(b->sched, &info, b->now_ms);
+	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
+	cr_assert(bed_plan(b, ID_A)->dirty, "the log has to tell of the new life");
+	b->born_ms = 2000;
+	bed_settle(b);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2);
+	bed_destroy(b);
+}
+
+static void restart(struct bed *b)
+{
+	g_autoptr(GPtrArray) records = b->records ? g_ptr_array_ref(b->records) : NULL;
+
+	scheduler_destroy(b->sched);
+	b->sched = NULL;
+	for (guint i = 0; records && i < records->len; i++) {
+		const struct log_record *r = records->pdata[i];
+
+		book_apply(b->book, r->key, r->value, r->size);
+	}
+	b->batch = 0;
+	g_clear_pointer(&b->records, g_ptr_array_unref);
+	g_array_set_size(b->start, 0);
+	g_array_set_size(b->look, 0);
+	g_array_set_size(b->stop, 0);
+	bed_begin(b);
+}
+
+/* A new scheduler knows of runs by their intents, and keeps their room until the runner is asked.
+ */
+Test(scheduler, takeover_adopts_what_runs)
+{
+	struct bed *b = bed_plain(1, 1000);
+	const struct look_running row = { .task = ID_A ".0.0.0", .run = 1, .checkpoint = "c1" };
+
+	bed_submit(b, bed_job(ID_A, "urgent", 2, 600));
+	bed_pass(b, 1);
+	restart(b);
+	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
+	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
+	bed_pass(b, 1);
+	bed_look_answer(b, "r0", &row, 1, NULL, 0);
+	bed_pass(b, 1);
+	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
+	cr_assert_null(bed_plan(b, ID_A)->task[1].live, "there is no room for the second");
+	cr_assert_str_eq(bed_plan(b, ID_A)->task[0].checkpoint, "c1");
+	bed_destroy(b);
+}
+
+Test(scheduler, takeover_forgets_what_the_runner_does_not_list)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
+	bed_pass(b, 1);
+	restart(b);
+	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
+	bed_settle(b);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1, "the older one may just have stopped it");
+	bed_pass(b, 1000);
+	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2, "it is placed anew with a higher run");
+	bed_destroy(b);
+}
+
+Test(scheduler, takeover_waits_for_a_runner_out_of_reach)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
+	bed_pass(b, 1);
+	restart(b);
+	bed_runner(b, "r1", "desk", "rack0", 1000, 0);
+	for (int64_t waited = 0; waited < 15000; waited += 500) {
+		bed_pass(b, 500);
+		bed_look_answer(b, "r1", NULL, 0, NULL, 0);
+		cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1);
+	}
+	bed_pass(b, 600);
+	bed_look_answer(b, "r1", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2);
+	bed_destroy(b);
+}
+
+/*
+ * Two lives of one runner in the store. An order may have come to a newer life than it was noted
+ * with (our own day odd-2: TWICE), so both are kept until a look at the runner tells.
+ */
+Test(scheduler, takeover_with_two_lives_of_a_runner)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t[2] = { CELL__TASK_PROGRESS__INIT, CELL__TASK_PROGRESS__INIT };
+	Cell__TaskProgress *rows[] = { &t[0], &t[1] };
+	struct bed *b = bed_create();
+	uint8_t buf[256];
+
+	bed_queue(b, "urgent", "desk", 0, 3, 0);
+	bed_submit(b, bed_job(ID_A, "urgent", 2, 100));
+	for (int i = 0; i < 2; i++) {
+		t[i].task = (uint32_t)i;
+		t[i].run = 1;
+		t[i].runner = "r0";
+		t[i].born_ms = 1000 + i * 500;
+	}
+	m.state = JOB_RUNNING;
+	m.task = rows;
+	m.n_task = 2;
+	book_apply(b->book, ID_A "/p", buf, cell__progress__pack(&m, buf));
+	bed_begin(b);
+	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
+	cr_assert_not_null(bed_plan(b, ID_A)->task[1].live);
+	bed_runner(b, "r1", "desk", "rack0", 1000, 0);
+	bed_settle(b);
+	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 1, "it may run on the newer life");
+	bed_destroy(b);
+}
+
+Test(scheduler, a_stop_for_a_runner_that_is_not_found_yet_waits)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
+	bed_pass(b, 1);
+	bed_cancel(b, ID_A);
+	restart(b);
+	bed_pass(b, 1);
+	cr_assert_eq(b->stop->len, 0);
+	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
+	bed_pass(b, 1);
+	cr_assert_eq(b->stop->len, 1);
+	bed_destroy(b);
+}
