Fleet: an answer that is a refusal is dealt with in one place; election tests share their pair

Cause: opening and renewing a worker's session began with the same eleven lines; four tests of the election set up the same two voters. Change: served() and pair_begin().

--- a/packages/daemon/process/fleet.c
+++ b/packages/daemon/process/fleet.c
@@ -150,18 +150,27 @@
 	update_state(w);
 }
 
-static void on_opened(void *ctx, const struct worker_reply *r)
+/* The worker that was asked; NULL if it is gone or has refused, which is dealt with here. */
+static struct worker *served(void *ctx, const struct worker_reply *r)
 {
 	struct worker *w = asking_end(ctx);
 
 	if (!w)
-		return;
+		return NULL;
 	w->asking = false;
-	if (r->result != WORKER_OK) {
-		worker_refused(w, r);
-		drive(w);
+	if (r->result == WORKER_OK)
+		return w;
+	worker_refused(w, r);
+	drive(w);
+	return NULL;
+}
+
+static void on_opened(void *ctx, const struct worker_reply *r)
+{
+	struct worker *w = served(ctx, r);
+
+	if (!w)
 		return;
-	}
 	session_opened(w->session, r->epoch, now_ms());
 	w->says_leaving = r->leaving;
 	w->ack = w->seen_seq = 0;
@@ -173,16 +182,10 @@
 
 static void on_renewed(void *ctx, const struct worker_reply *r)
 {
-	struct worker *w = asking_end(ctx);
+	struct worker *w = served(ctx, r);
 
 	if (!w)
 		return;
-	w->asking = false;
-	if (r->result != WORKER_OK) {
-		worker_refused(w, r);
-		drive(w);
-		return;
-	}
 	session_renewed(w->session, now_ms());
 	w->says_leaving = r->leaving;
 	pass_ends(w, r);
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -58,6 +58,15 @@
 	}
 }
 
+/* One that holds the lease, and one that follows it. */
+static void pair_begin(struct fake_log *l, struct voter *v)
+{
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 500);
+	voter_begin(&v[1], l, "b");
+	pass(l, v, 2, 1000);
+}
+
 static int leaders(const struct voter *v, int n)
 {
 	int count = 0;
@@ -119,10 +128,7 @@
 	struct fake_log *l = fake_log_create();
 	struct voter v[2] = { 0 };
 
-	voter_begin(&v[0], l, "a");
-	pass(l, v, 1, 500);
-	voter_begin(&v[1], l, "b");
-	pass(l, v, 2, 1000);
+	pair_begin(l, v);
 	for (int i = 0; i < 2; i++)
 		fake_mode(v[i].client, FAKE_SILENT);
 	pass(l, v, 2, 5000);
@@ -156,10 +162,7 @@
 	struct fake_log *l = fake_log_create();
 	struct voter v[2] = { 0 };
 
-	voter_begin(&v[0], l, "a");
-	pass(l, v, 1, 500);
-	voter_begin(&v[1], l, "b");
-	pass(l, v, 2, 1000);
+	pair_begin(l, v);
 	fake_mode(v[0].client, FAKE_REFUSES);
 	pass(l, v, 2, 4000);
 	cr_assert_gt(v[1].term, 0);
@@ -192,10 +195,7 @@
 	struct fake_log *l = fake_log_create();
 	struct voter v[2] = { 0 };
 
-	voter_begin(&v[0], l, "a");
-	pass(l, v, 1, 500);
-	voter_begin(&v[1], l, "b");
-	pass(l, v, 2, 1000);
+	pair_begin(l, v);
 	fake_mode(v[0].client, FAKE_LOSES_ANSWER);
 	pass(l, v, 2, 5000);
 	fake_mode(v[0].client, FAKE_WELL);
@@ -210,10 +210,7 @@
 	struct fake_log *l = fake_log_create();
 	struct voter v[2] = { 0 };
 
-	voter_begin(&v[0], l, "a");
-	pass(l, v, 1, 500);
-	voter_begin(&v[1], l, "b");
-	pass(l, v, 2, 1000);
+	pair_begin(l, v);
 	election_release(v[0].election, "");
 	pass(l, v, 2, 500);
 	cr_assert(election_released(v[0].election));
