A new scheduler waits for the leases of earlier ones as long as they may last

Cause: a holder cut off from the store went on granting leases for 8 s, so each new scheduler waited 15 s for runs on runners out of reach.

Ruled out: a record of the last lease in the job log; nobody knows when it was written once all processes were lost.

Change: a holder grants no lease and sends no start once its last renewal is 3 s old. The wait is one lease if the holder before released its own or was an older process of the same node, else one lease and 3 s. A runner that is born again is waited for as long as its longest lease.

--- a/packages/cell/process/exec.c
+++ b/packages/cell/process/exec.c
@@ -88,7 +88,7 @@
 	}
 }
 
-static int64_t on_slow_clock(int64_t ms)
+int64_t exec_lease_most_ms(int64_t ms)
 {
 	return ms * (1000 + EXEC_DRIFT_MILLI + 1) / 1000 + EXEC_SLACK_MS;
 }
@@ -102,7 +102,7 @@
 		return 0;
 	deadline = e->clock_ms + (now_ms - e->clock_local_ms) + lease_ms;
 	/* At clock_local_ms the runner's clock stood at clock_ms or later. */
-	until = e->clock_local_ms + on_slow_clock(deadline - e->clock_ms);
+	until = e->clock_local_ms + exec_lease_most_ms(deadline - e->clock_ms);
 	e->granted_until_ms = MAX(e->granted_until_ms, until);
 	return deadline;
 }
@@ -110,7 +110,7 @@
 void exec_reached(struct exec *e, int64_t lease_ms, int64_t now_ms)
 {
 	e->reached_ms = now_ms;
-	e->granted_until_ms = now_ms + on_slow_clock(lease_ms);
+	e->granted_until_ms = now_ms + exec_lease_most_ms(lease_ms);
 }
 
 bool exec_lapsed(const struct exec *e, int64_t now_ms)
--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -117,6 +117,8 @@
  * is not known. From then on what runs there may run until it.
  */
 int64_t exec_grant(struct exec *e, int64_t lease_ms, int64_t now_ms);
+/* exec_lease_most_ms - how long a lease of ms on a runner's clock may last. */
+int64_t exec_lease_most_ms(int64_t ms);
 /* exec_lapsed - every lease that was granted there has surely ended. */
 bool exec_lapsed(const struct exec *e, int64_t now_ms);
 /* exec_free - room left for another task, less what is set aside. */
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -17,7 +17,7 @@
 	struct exec *e = exec_create(info, s->next_handle++);
 
 	e->look_ms = s->now_ms;
-	e->granted_until_ms = s->now_ms + s->conf.inherited_ms;
+	e->granted_until_ms = s->inherited_until_ms;
 	return e;
 }
 
@@ -52,6 +52,9 @@
 {
 	struct exec *fresh = fresh_life(s, info);
 
+	/* An order for the old life may come to this one; its deadline is of the old clock. */
+	fresh->granted_until_ms =
+		MAX(fresh->granted_until_ms, s->now_ms + exec_lease_most_ms(s->conf.lease_cap_ms));
 	scheduler_tell_runner(s, DECISION_RUNNER_BORN, e, s->now_ms - e->answered_ms);
 	while (e->run->len) {
 		struct run *r = e->run->pdata[e->run->len - 1];
@@ -175,7 +178,7 @@
 	if (e->contacted && e->misses == 0 && !unwritten)
 		order.wait_ms = e->run->len ? look_wait(s, e) : 0;
 	/* One that does not answer may get every look: its lease has to be let run out. */
-	if (e->run->len && e->misses == 0)
+	if (e->run->len && e->misses == 0 && s->now_ms <= s->grant_until_ms)
 		order.deadline_ms = exec_grant(e, s->conf.lease_ms, s->now_ms);
 	order.timeout_ms = order.wait_ms + LOOK_ANSWER_MS;
 	e->looking = true;
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -170,7 +170,7 @@
 static void start_unanswered(struct scheduler *s, struct run *r)
 {
 	r->state = RUN_DOUBT;
-	if (r->stopping || r->orders >= ORDERS_MAX) {
+	if (r->stopping || r->orders >= ORDERS_MAX || s->now_ms > s->grant_until_ms) {
 		r->stopping = true;
 		scheduler_tell_run(s, DECISION_UNANSWERED, r);
 		runs_order_stop(s, r);
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -157,6 +157,8 @@
 	s->now_ms = now_ms;
 	s->wall_ms = g_get_real_time() / 1000;
 	s->batch_next = 1;
+	s->inherited_until_ms = now_ms + conf->inherited_ms;
+	s->grant_until_ms = INT64_MAX;
 	s->exec = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_exec);
 	s->open = g_ptr_array_new();
 	s->dirty = g_ptr_array_new();
@@ -195,6 +197,11 @@
 	s->helpers = n;
 }
 
+void scheduler_grant_until(struct scheduler *s, int64_t until_ms)
+{
+	s->grant_until_ms = until_ms;
+}
+
 void scheduler_configure(struct scheduler *s, const struct queues *q)
 {
 	s->queues = q;
@@ -282,7 +289,8 @@
 		if (!r->batch || r->batch > batch)
 			continue;
 		g_ptr_array_remove_index_fast(s->planned, i - 1);
-		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r))
+		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r) ||
+		    now_ms > s->grant_until_ms)
 			runs_refused(s, r, 0);
 		else
 			runs_order_start(s, r);
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -150,10 +150,11 @@
 
 struct scheduler_conf {
 	uint32_t lease_ms;	 /* of what runs */
+	uint32_t lease_cap_ms;	 /* a runner shortens longer ones to that */
 	uint32_t stop_ms;	 /* a runner takes at most that long to stop a task */
 	uint32_t gang_ms;	 /* a gang's members wait that long for each other */
 	uint32_t status_keep_ms; /* ended jobs are known for that long */
-	/* Runs of an older scheduler may live that long on a runner out of reach. */
+	/* Runs of an older scheduler may live that long, from now, on a runner out of reach. */
 	uint32_t inherited_ms;
 };
 
@@ -163,6 +164,12 @@
 
 /* scheduler_configure - the version in force; it has to stay valid until the next call. */
 void scheduler_configure(struct scheduler *s, const struct queues *q);
+/*
+ * scheduler_grant_until - no leases are granted after that time, and no starts sent: another
+ * scheduler may be at work by then, and has to know when the last of them end. Without a call
+ * there is no bound.
+ */
+void scheduler_grant_until(struct scheduler *s, int64_t until_ms);
 /* scheduler_set_helpers - so many processes may ask the advisor at the same time. */
 void scheduler_set_helpers(struct scheduler *s, uint32_t n);
 /* scheduler_runner - a runner as the platform lists it now. */
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -32,7 +32,9 @@
 	bool fenced;
 	int64_t now_ms;
 	int64_t wall_ms;
-	int64_t expire_ms; /* next search for jobs to drop */
+	int64_t inherited_until_ms; /* leases of older schedulers have ended by then */
+	int64_t grant_until_ms;	    /* no lease is granted later */
+	int64_t expire_ms;	    /* next search for jobs to drop */
 	struct scheduler_sums sums;
 };
 
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -23,6 +23,7 @@
 	guint timer;
 	uint64_t next;	 /* offset to read from, and the end of the log as known */
 	char *holder;	 /* self of the holder, NULL for none */
+	bool freed;	 /* the holder has released the lease */
 	char *successor; /* for the release */
 	uint64_t term;
 	bool leading;
@@ -41,15 +42,42 @@
 	uint32_t spread_ms;
 	bool weak;
 	int64_t free_ms; /* since when there is no holder, 0 while there is one */
+	int64_t past_ms; /* earlier holders grant no leases after that */
 };
 
+/* Whether both are processes of one node, and not the same one. */
+static bool same_node(const char *a, const char *b)
+{
+	const char *slash = strchr(a, '/');
+	size_t len = slash ? (size_t)(slash - a) + 1 : 0;
+
+	return len && strncmp(a, b, len) == 0 && !g_str_equal(a, b);
+}
+
+/* Whether the holder is an older process of this node. */
+static bool holder_is_past(const struct election *e)
+{
+	return same_node(e->self, e->holder);
+}
+
+/* A holder that is neither released nor surely ended grants leases until it notices. */
+static void replace_holder(struct election *e, const char *by)
+{
+	bool ended = !e->holder || e->freed || same_node(e->holder, by);
+	int64_t now = node_now_ms();
+
+	e->past_ms = MAX(e->past_ms, ended ? now : now + ELECTION_GRANT_MS);
+	e->freed = false;
+	g_free(e->holder);
+	e->holder = g_strdup(by);
+}
+
 static void become(struct election *e, uint64_t term, int64_t sent_ms)
 {
 	e->leading = true;
 	e->term = term;
 	e->renewed_ms = sent_ms;
-	g_free(e->holder);
-	e->holder = g_strdup(e->self);
+	replace_holder(e, e->self);
 	log_notice("claim", NULL, "this node is the scheduler, term %" G_GUINT64_FORMAT, term);
 	e->ops->won(e->ctx, term);
 }
@@ -75,8 +103,7 @@
 		return;
 	}
 	step_down(e, "another node has claimed it");
-	g_free(e->holder);
-	e->holder = g_strdup(m->node);
+	replace_holder(e, m->node);
 	e->term = term;
 	e->ops->holder(e->ctx, m->address, term);
 }
@@ -84,21 +111,13 @@
 static void take_release(struct election *e, const Cell__Lead *m)
 {
 	e->ops->holder(e->ctx, "", e->term);
+	e->freed = true;
 	if (!*m->successor || g_str_equal(m->successor, e->self))
 		g_clear_pointer(&e->holder, g_free);
 	else
 		e->heard_ms = node_now_ms() - ELECTION_LEASE_MS + HINT_MS;
 }
 
-/* Whether the holder is an older process of this node. */
-static bool holder_is_past(const struct election *e)
-{
-	const char *slash = strchr(e->self, '/');
-	size_t len = slash ? (size_t)(slash - e->self) + 1 : 0;
-
-	return len && strncmp(e->holder, e->self, len) == 0 && !g_str_equal(e->holder, e->self);
-}
-
 static void apply(struct election *e, const struct store_record *rec)
 {
 	Cell__Lead *m = cell__lead__unpack(NULL, rec->size, rec->value);
@@ -327,6 +346,16 @@
 	step_down(e, why);
 }
 
+int64_t election_renewed_ms(const struct election *e)
+{
+	return e->renewed_ms;
+}
+
+int64_t election_past_ms(const struct election *e)
+{
+	return e->past_ms;
+}
+
 bool election_released(const struct election *e)
 {
 	return e->released;
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -10,10 +10,14 @@
  * several wins. Its offset + 1 is the term, which rises from claim to claim. The holder appends
  * renewals on the same condition; a node that hears no renewal for ELECTION_LEASE_MS, while the
  * store answers it, claims. A holder that was not renewed for ELECTION_STOP_MS gives up by itself.
+ * One that was not renewed for ELECTION_GRANT_MS grants no leases to runners any more, so that its
+ * successor knows when the last of them ends.
  */
 #define ELECTION_RENEW_MS 500  /* three renewals may get lost before the lease ends */
 #define ELECTION_LEASE_MS 2000 /* half of the platform's bound for a machine out of touch */
 #define ELECTION_STOP_MS  8000 /* longer than most outages of the store, in which work goes on */
+#define ELECTION_GRANT_MS 3000 /* a lease of the holder, and a renewal under way in a slow store   \
+				*/
 
 struct election;
 
@@ -47,6 +51,10 @@
 void election_suspect(struct election *e);
 /* election_superseded - a runner or the log has seen a higher term. */
 void election_superseded(struct election *e, const char *by);
+/* election_renewed_ms - when the last renewal that was acknowledged was sent. */
+int64_t election_renewed_ms(const struct election *e);
+/* election_past_ms - no earlier holder grants a lease to a runner after that time. */
+int64_t election_past_ms(const struct election *e);
 /* election_released - the release stands in the log, or there was nothing to release. */
 bool election_released(const struct election *e);
 
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -43,6 +43,11 @@
 	arm(n, node_now_ms() + POKE_MS);
 }
 
+static int64_t grant_until(const struct node *n)
+{
+	return election_renewed_ms(n->election) + ELECTION_GRANT_MS;
+}
+
 static gboolean on_timer(gpointer data)
 {
 	struct node *n = data;
@@ -53,6 +58,7 @@
 	n->timer = 0;
 	if (!n->scheduler)
 		return G_SOURCE_REMOVE;
+	scheduler_grant_until(n->scheduler, grant_until(n));
 	next = scheduler_tick(n->scheduler, now, node_wall_ms());
 	if (now >= n->sums_ms) {
 		n->sums_ms = now + SUMS_EVERY_MS;
@@ -85,13 +91,17 @@
 static void on_lead(void *ctx, enum store_result result)
 {
 	struct node *n = ctx;
+	struct scheduler_conf conf = n->conf.scheduler;
+	int64_t now = node_now_ms();
+	int64_t past_ms = election_past_ms(n->election);
 
 	if (result != STORE_OK) {
 		node_step_down_soon(n, "the job log");
 		return;
 	}
-	n->scheduler = scheduler_create(&n->conf.scheduler, joblog_book(n->log),
-					&node_scheduler_ops, n, node_now_ms());
+	conf.inherited_ms = (uint32_t)(MAX(past_ms - now, 0) + exec_lease_most_ms(conf.lease_ms));
+	n->scheduler = scheduler_create(&conf, joblog_book(n->log), &node_scheduler_ops, n, now);
+	scheduler_grant_until(n->scheduler, grant_until(n));
 	scheduler_configure(n->scheduler, n->queues);
 	/* Nodes may have linked before the job log was read. */
 	scheduler_set_helpers(n->scheduler, links_count(n->links) + 1);
--- a/tests/cell/bed.c
+++ b/tests/cell/bed.c
@@ -135,6 +135,7 @@
 
 	b->now_ms = 1000000;
 	b->born_ms = BORN_MS;
+	b->inherited_ms = 15000;
 	b->wall_ms = 1760000000000;
 	b->book = book_create();
 	b->queues = queues_create(1);
@@ -184,11 +185,12 @@
 
 void bed_begin(struct bed *b)
 {
-	static const struct scheduler_conf conf = { .lease_ms = 6000,
-						    .stop_ms = 900,
-						    .gang_ms = 3000,
-						    .status_keep_ms = 120000,
-						    .inherited_ms = 15000 };
+	const struct scheduler_conf conf = { .lease_ms = 6000,
+					     .lease_cap_ms = 10000,
+					     .stop_ms = 900,
+					     .gang_ms = 3000,
+					     .status_keep_ms = 120000,
+					     .inherited_ms = b->inherited_ms };
 
 	b->sched = scheduler_create(&conf, b->book, &ops, b, b->now_ms);
 	scheduler_configure(b->sched, b->queues);
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -42,8 +42,9 @@
 	struct scheduler *sched;
 	int64_t now_ms;
 	int64_t wall_ms;
-	int64_t born_ms; /* life of the runners that answer looks */
-	GArray *start;	 /* orders that were not answered yet, oldest first */
+	uint32_t inherited_ms; /* of the schedulers that begin; 15 s at first */
+	int64_t born_ms;       /* life of the runners that answer looks */
+	GArray *start;	       /* orders that were not answered yet, oldest first */
 	GArray *stop;
 	GArray *look;
 	GArray *ask;
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -8,6 +8,7 @@
 #define WALL_MS	     1760000000000
 #define MIB	     1048576
 #define INHERITED_MS 15000
+#define LEASE_CAP_MS 10000
 #define ZOMBIE_MS    7000 /* an older scheduler gives orders for that long, at most */
 #define APPEND_MS    12
 #define CALM_MS	     60000 /* without faults at the end, for all that is left to end */
@@ -216,6 +217,7 @@
 static void new_scheduler(struct sim *s)
 {
 	static const struct scheduler_conf conf = { .lease_ms = LEASE_MS,
+						    .lease_cap_ms = LEASE_CAP_MS,
 						    .stop_ms = STOP_MS,
 						    .gang_ms = GANG_MS,
 						    .status_keep_ms = 1000000,
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -181,6 +181,30 @@
 	bed_destroy(b);
 }
 
+/*
+ * Pattern: the store is away for the scheduler only, and another one takes over. Its leases have to
+ * end at a time that the other can tell.
+ */
+Test(scheduler, no_lease_is_granted_when_a_successor_may_be_at_work)
+{
+	struct bed *b = bed_plain(1, 1000);
+	const struct look_running row = { .task = ID_A ".0.0.0", .run = 1, .checkpoint = "" };
+
+	bed_run(b, bed_job(ID_A, "urgent", 1, 100));
+	scheduler_grant_until(b->sched, b->now_ms + 2000);
+	bed_pass(b, 1000);
+	cr_assert_gt(g_array_index(b->look, struct bed_look, 0).deadline_ms, 0);
+	bed_look_answer(b, "r0", &row, 1, NULL, 0);
+	bed_pass(b, 1500);
+	bed_submit(b, bed_job(ID_B, "urgent", 1, 100));
+	bed_pass(b, 1);
+	cr_assert_eq(b->look->len, 1, "ends are still looked for");
+	cr_assert_eq(g_array_index(b->look, struct bed_look, 0).deadline_ms, 0);
+	bed_ack(b);
+	cr_assert_eq(b->start->len, 0);
+	bed_destroy(b);
+}
+
 /* A runner on which nothing ran for longer than a lease is as good as any. */
 Test(scheduler, a_start_on_an_idle_runner_is_not_taken_for_lapsed)
 {
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -110,6 +110,36 @@
 	bed_destroy(b);
 }
 
+/*
+ * Pattern: schedulers are lost one after the other while a runner is gone for good (our own day
+ * odd-2: LOST). Each of them waits for the leases of those before it from its own beginning, and
+ * where these have ended that is one lease.
+ */
+Test(scheduler, takeover_waits_as_long_as_older_leases_may_last)
+{
+	static const uint32_t waits_ms[] = { 6220, 9220 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(waits_ms); i++) {
+		struct bed *b = bed_plain(1, 1000);
+
+		bed_submit(b, bed_job(ID_A, "urgent", 1, 600));
+		bed_pass(b, 1);
+		b->inherited_ms = waits_ms[i];
+		for (int k = 0; k < 3; k++) {
+			restart(b);
+			bed_runner(b, "r1", "desk", "rack0", 1000, 0);
+			bed_pass(b, 2000);
+		}
+		bed_look_answer(b, "r1", NULL, 0, NULL, 0);
+		bed_pass(b, waits_ms[i] - 2000);
+		cr_expect_eq(bed_plan(b, ID_A)->task[0].run, 1, "case %zu", i);
+		bed_look_answer(b, "r1", NULL, 0, NULL, 0);
+		bed_pass(b, 1);
+		cr_expect_eq(bed_plan(b, ID_A)->task[0].run, 2, "case %zu", i);
+		bed_destroy(b);
+	}
+}
+
 /*
  * Two lives of one runner in the store. An order may have come to a newer life than it was noted
  * with (our own day odd-2: TWICE), so both are kept until a look at the runner tells.
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -221,6 +221,44 @@
 	end(l, v, 2);
 }
 
+struct past_case {
+	const char *what;
+	const char *successor; /* node that takes over */
+	bool released;
+	bool surely; /* the holder grants nothing from then on */
+};
+
+/* What a new scheduler knows of the leases that those before it granted. */
+Test(election, how_long_earlier_holders_may_grant_leases)
+{
+	static const struct past_case cases[] = {
+		{ "released", "b/1", true, true },
+		{ "its node runs a new process", "a/2", false, true },
+		{ "not heard of", "b/1", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_log *l = fake_log_create();
+		struct voter v[2] = { 0 };
+		int64_t after_ms;
+
+		voter_begin(&v[0], l, "a/1");
+		pass(l, v, 1, 500);
+		voter_begin(&v[1], l, cases[i].successor);
+		if (cases[i].released)
+			election_release(v[0].election, "");
+		pass(l, v, cases[i].released ? 2 : 1, 100);
+		fake_forget(v[0].client);
+		g_clear_pointer(&v[0].election, election_destroy);
+		while (!v[1].term)
+			pass(l, v, 2, TICK_MS);
+		after_ms = election_past_ms(v[1].election) - fake_now_ms;
+		cr_expect_eq(after_ms <= 0, cases[i].surely, "%s", cases[i].what);
+		cr_expect_leq(after_ms, ELECTION_GRANT_MS, "%s", cases[i].what);
+		end(l, v, 2);
+	}
+}
+
 /* The process of the holder was killed and starts again on the same node, or on all nodes at once.
  */
 Test(election, a_restarted_holder_does_not_wait_for_itself)
