A scheduler that falls silent is replaced after 0.9 s instead of 2.2 s

Ruled out: a shorter lease for all; in a slow store a renewal takes 0.7 s.

Change: the scheduler sends a beat on each link every 150 ms, which tells whether its renewals are stored, and gets it back. A node that neither hears beats for 0.5 s nor reads renewals for 0.9 s claims. Nodes without an echo for 0.5 s get no orders and no questions, and questions that they have are asked elsewhere. Renewals every 400 ms.

--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -17,6 +17,8 @@
 	char *dc;
 	bool weak;
 	uint64_t load_us; /* of the questions under way */
+	int64_t heard_ms; /* last message */
+	int64_t beat_ms;  /* last beat to it */
 };
 
 struct question {
@@ -53,6 +55,12 @@
 	l->ops->peers(l->ctx, l->peer->len);
 }
 
+/* Orders and questions to it would wait for a connection that may be cut. */
+static bool is_silent(const struct peer *p)
+{
+	return node_now_ms() - p->heard_ms > LINKS_SILENT_MS;
+}
+
 static void reply_state(struct peer *p, const Cell__StateAsk *ask)
 {
 	Kw__Envelope e = KW__ENVELOPE__INIT;
@@ -87,6 +95,9 @@
 {
 	struct peer *p = ctx;
 
+	p->heard_ms = node_now_ms();
+	if (e->body_case == KW__ENVELOPE__BODY_LEAD_BEAT)
+		return;
 	if (e->body_case == KW__ENVELOPE__BODY_LINK_HELLO) {
 		g_free(p->name);
 		p->name = g_strdup(e->link_hello->node);
@@ -122,6 +133,7 @@
 
 	links_bound_silence(conn);
 	p->links = l;
+	p->heard_ms = node_now_ms();
 	p->link = link_create(conn, &links_conf, &peer_ops, p);
 	g_ptr_array_add(l->peer, p);
 	l->ops->peers(l->ctx, l->peer->len);
@@ -159,7 +171,8 @@
 	for (guint i = 0; i < l->peer->len; i++) {
 		struct peer *p = l->peer->pdata[i];
 
-		if (p->name && p->load_us < own_us && (!q.peer || p->load_us < q.peer->load_us))
+		if (p->name && !is_silent(p) && p->load_us < own_us &&
+		    (!q.peer || p->load_us < q.peer->load_us))
 			q.peer = p;
 	}
 	if (!q.peer)
@@ -190,17 +203,20 @@
 {
 	uint64_t below = UINT64_MAX;
 	struct peer *best = NULL;
+	uint32_t reached = 0;
 
-	if (l->peer->len == 0)
+	for (guint i = 0; i < l->peer->len; i++)
+		reached += !is_silent(l->peer->pdata[i]);
+	if (reached == 0)
 		return NULL;
-	rank %= l->peer->len;
+	rank %= reached;
 	for (uint32_t i = 0; i <= rank; i++) {
 		uint64_t best_weight = 0;
 		struct peer *found = NULL;
 
 		for (guint k = 0; k < l->peer->len; k++) {
 			struct peer *p = l->peer->pdata[k];
-			uint64_t w = p->name ? weight(p, dc, runner) : 0;
+			uint64_t w = p->name && !is_silent(p) ? weight(p, dc, runner) : 0;
 
 			if (w && w < below && w > best_weight) {
 				found = p;
@@ -240,11 +256,37 @@
 	return link_send(p->link, e, 0) > 0;
 }
 
+void linkpeers_forgive(struct links *l, int64_t stalled_ms)
+{
+	for (guint i = 0; i < l->peer->len; i++)
+		((struct peer *)l->peer->pdata[i])->heard_ms += stalled_ms;
+}
+
+static void send_beat(struct links *l, struct peer *p, int64_t now_ms)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LeadBeat m = CELL__LEAD_BEAT__INIT;
+
+	if (now_ms - p->beat_ms < LINKS_BEAT_MS)
+		return;
+	p->beat_ms = now_ms;
+	m.term = l->term;
+	m.renewed = l->ops->renewed(l->ctx);
+	e.body_case = KW__ENVELOPE__BODY_LEAD_BEAT;
+	e.lead_beat = &m;
+	link_send(p->link, &e, 0);
+}
+
 void linkpeers_tick(struct links *l, int64_t now_ms)
 {
-	for (guint i = l->question->len; i > 0; i--)
-		if (g_array_index(l->question, struct question, i - 1).until_ms <= now_ms)
+	for (guint i = 0; i < l->peer->len; i++)
+		send_beat(l, l->peer->pdata[i], now_ms);
+	for (guint i = l->question->len; i > 0; i--) {
+		const struct question *q = &g_array_index(l->question, struct question, i - 1);
+
+		if (q->until_ms <= now_ms || is_silent(q->peer))
 			answer_advice(l, i - 1, false, NULL, 0, 0);
+	}
 }
 
 void linkpeers_create(struct links *l)
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -7,6 +7,7 @@
 #define QUEUE_MAX_BYTES 4194304
 #define SILENCE_MS	1000 /* unacknowledged bytes end a link after that */
 #define TICK_MS		50
+#define STALL_MS	250 /* between ticks: this process was slow, not the others */
 #define BACKLOG		256
 
 const struct link_conf links_conf = { .frame_max_bytes = FRAME_MAX_BYTES,
@@ -31,11 +32,21 @@
 	return TRUE;
 }
 
+/* What was sent to this process while it stood still has yet to be read. */
+static void forgive(struct links *l, int64_t stalled_ms)
+{
+	l->heard_ms += stalled_ms;
+	linkpeers_forgive(l, stalled_ms);
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct links *l = data;
 	int64_t now = node_now_ms();
 
+	if (now - l->tick_ms > STALL_MS)
+		forgive(l, now - l->tick_ms);
+	l->tick_ms = now;
 	linkpeers_tick(l, now);
 	uplink_tick(l, now);
 	return G_SOURCE_CONTINUE;
@@ -53,6 +64,7 @@
 	l->ctx = ctx;
 	linkpeers_create(l);
 	uplink_create(l);
+	l->tick_ms = node_now_ms();
 	l->timer = g_timeout_add(TICK_MS, on_tick, l);
 	return l;
 }
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -36,6 +36,8 @@
 	void (*peer_lost)(void *ctx, const struct peer *p);
 	/* refused - the scheduler's host runs, but takes no links: its process has ended. */
 	void (*refused)(void *ctx);
+	/* renewed - whether this node, as the scheduler, still reaches the store. */
+	bool (*renewed)(void *ctx);
 	/* peers - the number of nodes that are linked to this one has changed. */
 	void (*peers)(void *ctx, uint32_t n);
 };
@@ -47,6 +49,11 @@
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
 /* links_follow - keeps a link to address ("IP:PORT"); "" for none. */
 void links_follow(struct links *l, const char *address, uint64_t term);
+/*
+ * links_silence_ms - how long the scheduler that is followed has not been heard of, or has said
+ * that it doesn't reach the store; 0 if none is followed.
+ */
+int64_t links_silence_ms(const struct links *l);
 /* links_drop_peers - ends the links of the nodes that are linked to this one. */
 void links_drop_peers(struct links *l);
 /* STORE_OK, STORE_REFUSED, or STORE_UNKNOWN if the scheduler did not say. */
@@ -73,7 +80,8 @@
 
 /*
  * links_pick - a linked node for orders to a runner, those of its data centre first; the same one
- * each time while the links stay, the next one with each rank. NULL if no node is linked.
+ * each time while the links stay, the next one with each rank. NULL if no node is linked that was
+ * heard of lately.
  */
 struct peer *links_pick(struct links *l, const char *dc, const char *runner, uint32_t rank);
 /* links_count - nodes that are linked to this one. */
--- a/packages/node/connection/links_priv.h
+++ b/packages/node/connection/links_priv.h
@@ -25,11 +25,16 @@
 	bool dialling;
 	GCancellable *dial;
 	int64_t dial_ms;
-	GArray *call; /* of struct up_call */
+	int64_t heard_ms; /* of the scheduler that reaches the store */
+	GArray *call;	  /* of struct up_call */
 	uint64_t next_call;
 	guint timer;
+	int64_t tick_ms; /* last tick */
 };
 
+#define LINKS_BEAT_MS	150 /* a fifth of the time after which a node may take over */
+#define LINKS_SILENT_MS 500 /* three beats lost; 24 ms there and back between regions */
+
 extern const struct link_conf links_conf;
 
 /* links_bound_silence - ends the connection when its other side is out of reach. */
@@ -40,7 +45,9 @@
 /* linkpeers_create, linkpeers_destroy - the part of l that holds peers; each loss is told. */
 void linkpeers_create(struct links *l);
 void linkpeers_destroy(struct links *l);
-/* linkpeers_tick - ends questions without an answer. */
+/* linkpeers_forgive - silence of that length is not the peers'. */
+void linkpeers_forgive(struct links *l, int64_t stalled_ms);
+/* linkpeers_tick - sends beats, and ends questions without an answer or to silent nodes. */
 void linkpeers_tick(struct links *l, int64_t now_ms);
 
 void uplink_create(struct links *l);
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -73,6 +73,14 @@
 		c.stored(c.ctx, m->stored ? STORE_OK : m->refused ? STORE_REFUSED : STORE_UNKNOWN);
 }
 
+/* The other side learns from it that this node can be reached. */
+static void take_beat(struct links *l, const Kw__Envelope *e)
+{
+	if (e->lead_beat->renewed)
+		l->heard_ms = node_now_ms();
+	link_send(l->up, e, 0);
+}
+
 static void on_up_message(void *ctx, struct link *link, const Kw__Envelope *e, uint32_t size)
 {
 	struct links *l = ctx;
@@ -81,6 +89,8 @@
 		take_state(l, e->state_reply);
 	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_REPLY)
 		take_stored(l, e->append_reply);
+	else if (e->body_case == KW__ENVELOPE__BODY_LEAD_BEAT)
+		take_beat(l, e);
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
 		l->ops->ask(l->ctx, e->advice_ask->call, e->advice_ask->step,
 			    (const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
@@ -153,6 +163,7 @@
 		g_cancellable_cancel(l->dial);
 	l->dialling = false;
 	l->dial_ms = 0;
+	l->heard_ms = node_now_ms();
 	l->term = term;
 	g_free(l->address);
 	l->address = g_strdup(address);
@@ -160,6 +171,11 @@
 		close_up(l);
 }
 
+int64_t links_silence_ms(const struct links *l)
+{
+	return l->address && *l->address ? node_now_ms() - l->heard_ms : 0;
+}
+
 static bool send_call(struct links *l, const Kw__Envelope *e, const struct up_call *c)
 {
 	if (!link_send(l->up, e, 0))
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -9,7 +9,8 @@
 #define TOPIC		  "lead"
 #define READ_WAIT_MS	  2000
 #define APPEND_TIMEOUT_MS 900 /* the store answers in 4 ms, 90 times as long when slow */
-#define TICK_MS		  100
+#define TICK_MS		  50
+#define DOUBT_MS	  700 /* an append under way for longer is taken for lost */
 #define RETRY_MS	  200 /* after an answer that did not come */
 #define SPREAD_MS	  200 /* nodes claim at different times within it */
 #define HINT_MS		  400 /* a successor is waited for, and the hint of an end is checked, that long */
@@ -34,6 +35,7 @@
 	bool appending;
 	bool caught_up;	      /* everything that the store has was read */
 	bool resync;	      /* read before the next append */
+	bool failed;	      /* the last append was not stored, as far as is known */
 	int64_t heard_ms;     /* last record of the holder, or since when the store answers */
 	int64_t answering_ms; /* 0 while the store does not answer */
 	int64_t sent_ms;      /* of the append under way */
@@ -190,6 +192,7 @@
 	struct election *e = ctx;
 
 	e->appending = false;
+	e->failed = result != STORE_OK;
 	if (e->closing) {
 		on_closing_appended(e, result, offset);
 		return;
@@ -245,6 +248,8 @@
 		return false;
 	if (!e->holder || holder_is_past(e))
 		return !e->weak || (e->free_ms && now - e->free_ms > ELECTION_WEAK_MS);
+	if (now - since > ELECTION_QUICK_MS + e->spread_ms && e->ops->silent(e->ctx))
+		return true;
 	return now - since > ELECTION_LEASE_MS + e->spread_ms;
 }
 
@@ -346,6 +351,11 @@
 	step_down(e, why);
 }
 
+bool election_renewing(const struct election *e)
+{
+	return !e->failed && (!e->appending || node_now_ms() - e->sent_ms < DOUBT_MS);
+}
+
 int64_t election_renewed_ms(const struct election *e)
 {
 	return e->renewed_ms;
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -9,15 +9,19 @@
  * A claim is appended on the condition that the log ends where the claimant has read it, so one of
  * several wins. Its offset + 1 is the term, which rises from claim to claim. The holder appends
  * renewals on the same condition; a node that hears no renewal for ELECTION_LEASE_MS, while the
- * store answers it, claims. A holder that was not renewed for ELECTION_STOP_MS gives up by itself.
- * One that was not renewed for ELECTION_GRANT_MS grants no leases to runners any more, so that its
- * successor knows when the last of them ends.
+ * store answers it, claims; after ELECTION_QUICK_MS already if the holder itself is silent too, or
+ * says that it doesn't reach the store. A holder that was not renewed for ELECTION_STOP_MS gives up
+ * by itself. One that was not renewed for ELECTION_GRANT_MS grants no leases to runners any more,
+ * so that its successor knows when the last of them ends.
  */
-#define ELECTION_RENEW_MS 500  /* three renewals may get lost before the lease ends */
-#define ELECTION_LEASE_MS 2000 /* half of the platform's bound for a machine out of touch */
-#define ELECTION_STOP_MS  8000 /* longer than most outages of the store, in which work goes on */
-#define ELECTION_GRANT_MS 3000 /* a lease of the holder, and a renewal under way in a slow store   \
-				*/
+#define ELECTION_RENEW_MS  400	/* four renewals may get lost before the lease ends */
+#define ELECTION_LEASE_MS  2000 /* half of the platform's bound for a machine out of touch */
+#define ELECTION_QUICK_MS  900	/* two renewals lost; only for a holder that is silent too */
+#define ELECTION_SILENT_MS 500	/* three beats of the holder lost */
+#define ELECTION_STOP_MS   8000 /* longer than most outages of the store, in which work goes on */
+#define ELECTION_GRANT_MS                                                                          \
+	3000 /* a lease of the holder, and a renewal under way in a slow store                     \
+	      */
 
 struct election;
 
@@ -28,6 +32,8 @@
 	void (*lost)(void *ctx, const char *why);
 	/* holder - another node is; address is "" if there is none. */
 	void (*holder)(void *ctx, const char *address, uint64_t term);
+	/* silent - the holder can't be reached, or doesn't reach the store itself. */
+	bool (*silent)(void *ctx);
 };
 
 #define ELECTION_WEAK_MS 1500 /* a weak VM waits longer, so that others claim first */
@@ -51,6 +57,8 @@
 void election_suspect(struct election *e);
 /* election_superseded - a runner or the log has seen a higher term. */
 void election_superseded(struct election *e, const char *by);
+/* election_renewing - the last renewal was stored, as far as is known. */
+bool election_renewing(const struct election *e);
 /* election_renewed_ms - when the last renewal that was acknowledged was sent. */
 int64_t election_renewed_ms(const struct election *e);
 /* election_past_ms - no earlier holder grants a lease to a runner after that time. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -148,10 +148,16 @@
 	links_follow(n->links, address, term);
 }
 
+static bool on_silent(void *ctx)
+{
+	return links_silence_ms(((struct node *)ctx)->links) > ELECTION_SILENT_MS;
+}
+
 static const struct election_ops election_ops = {
 	.won = on_won,
 	.lost = on_lost,
 	.holder = on_holder,
+	.silent = on_silent,
 };
 
 static void on_job_changed(void *ctx, struct plan *p)
@@ -269,7 +275,13 @@
 	election_suspect(((struct node *)ctx)->election);
 }
 
+static bool on_renewed(void *ctx)
+{
+	return election_renewing(((struct node *)ctx)->election);
+}
+
 static const struct links_ops links_ops = {
+	.renewed = on_renewed,
 	.refused = on_refused,
 	.append = on_append,
 	.order = on_order,
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &cell__link_hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell__lead_beat__init
+                     (Cell__LeadBeat         *message)
+{
+  static const Cell__LeadBeat init_value = CELL__LEAD_BEAT__INIT;
+  *message = init_value;
+}
+size_t cell__lead_beat__get_packed_size
+                     (const Cell__LeadBeat *message)
+{
+  assert(message->base.descriptor == &cell__lead_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__lead_beat__pack
+                     (const Cell__LeadBeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__lead_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__lead_beat__pack_to_buffer
+                     (const Cell__LeadBeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__lead_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__LeadBeat *
+       cell__lead_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__LeadBeat *)
+     protobuf_c_message_unpack (&cell__lead_beat__descriptor,
+                                allocator, len, data);
+}
+void   cell__lead_beat__free_unpacked
+                     (Cell__LeadBeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__lead_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cell__state_ask__init
                      (Cell__StateAsk         *message)
 {
@@ -1765,6 +1810,57 @@
   (ProtobufCMessageInit) cell__link_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cell__lead_beat__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeadBeat, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renewed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeadBeat, renewed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__lead_beat__field_indices_by_name[] = {
+  1,   /* field[1] = renewed */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange cell__lead_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cell__lead_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.LeadBeat",
+  "LeadBeat",
+  "Cell__LeadBeat",
+  "cell",
+  sizeof(Cell__LeadBeat),
+  2,
+  cell__lead_beat__field_descriptors,
+  cell__lead_beat__field_indices_by_name,
+  1,  cell__lead_beat__number_ranges,
+  (ProtobufCMessageInit) cell__lead_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cell__state_ask__field_descriptors[2] =
 {
   {
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Cell__Progress Cell__Progress;
 typedef struct Cell__Lead Cell__Lead;
 typedef struct Cell__LinkHello Cell__LinkHello;
+typedef struct Cell__LeadBeat Cell__LeadBeat;
 typedef struct Cell__StateAsk Cell__StateAsk;
 typedef struct Cell__StateReply Cell__StateReply;
 typedef struct Cell__AdviceAsk Cell__AdviceAsk;
@@ -175,6 +176,23 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Sent by the scheduler while a link is idle, and sent back by the other side.
+ */
+struct  Cell__LeadBeat
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * Its renewals reach the store.
+   */
+  protobuf_c_boolean renewed;
+};
+#define CELL__LEAD_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__lead_beat__descriptor) \
+    , 0, 0 }
+
+
 struct  Cell__StateAsk
 {
   ProtobufCMessage base;
@@ -507,6 +525,25 @@
 void   cell__link_hello__free_unpacked
                      (Cell__LinkHello *message,
                       ProtobufCAllocator *allocator);
+/* Cell__LeadBeat methods */
+void   cell__lead_beat__init
+                     (Cell__LeadBeat         *message);
+size_t cell__lead_beat__get_packed_size
+                     (const Cell__LeadBeat   *message);
+size_t cell__lead_beat__pack
+                     (const Cell__LeadBeat   *message,
+                      uint8_t             *out);
+size_t cell__lead_beat__pack_to_buffer
+                     (const Cell__LeadBeat   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__LeadBeat *
+       cell__lead_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__lead_beat__free_unpacked
+                     (Cell__LeadBeat *message,
+                      ProtobufCAllocator *allocator);
 /* Cell__StateAsk methods */
 void   cell__state_ask__init
                      (Cell__StateAsk         *message);
@@ -812,6 +849,9 @@
 typedef void (*Cell__LinkHello_Closure)
                  (const Cell__LinkHello *message,
                   void *closure_data);
+typedef void (*Cell__LeadBeat_Closure)
+                 (const Cell__LeadBeat *message,
+                  void *closure_data);
 typedef void (*Cell__StateAsk_Closure)
                  (const Cell__StateAsk *message,
                   void *closure_data);
@@ -870,6 +910,7 @@
 extern const ProtobufCMessageDescriptor cell__progress__descriptor;
 extern const ProtobufCMessageDescriptor cell__lead__descriptor;
 extern const ProtobufCMessageDescriptor cell__link_hello__descriptor;
+extern const ProtobufCMessageDescriptor cell__lead_beat__descriptor;
 extern const ProtobufCMessageDescriptor cell__state_ask__descriptor;
 extern const ProtobufCMessageDescriptor cell__state_reply__descriptor;
 extern const ProtobufCMessageDescriptor cell__advice_ask__descriptor;
--- a/packages/wire/kw.pb-c.c
+++ b/packages/wire/kw.pb-c.c
@@ -2172,7 +2172,7 @@
   (ProtobufCMessageInit) kw__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor kw__envelope__field_descriptors[27] =
 {
   {
     "hello",
@@ -2486,6 +2486,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lead_beat",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kw__Envelope, body_case),
+    offsetof(Kw__Envelope, lead_beat),
+    &cell__lead_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kw__envelope__field_indices_by_name[] = {
   16,   /* field[16] = advice_ask */
@@ -2500,6 +2512,7 @@
   5,   /* field[5] = credit */
   6,   /* field[6] = end */
   0,   /* field[0] = hello */
+  26,   /* field[26] = lead_beat */
   13,   /* field[13] = link_hello */
   22,   /* field[22] = look_order */
   23,   /* field[23] = look_reply */
@@ -2518,7 +2531,7 @@
 static const ProtobufCIntRange kw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor kw__envelope__descriptor =
 {
@@ -2528,7 +2541,7 @@
   "Kw__Envelope",
   "kw",
   sizeof(Kw__Envelope),
-  26,
+  27,
   kw__envelope__field_descriptors,
   kw__envelope__field_indices_by_name,
   1,  kw__envelope__number_ranges,
--- a/packages/wire/kw.pb-c.h
+++ b/packages/wire/kw.pb-c.h
@@ -386,7 +386,8 @@
   KW__ENVELOPE__BODY_LOOK_ORDER = 23,
   KW__ENVELOPE__BODY_LOOK_REPLY = 24,
   KW__ENVELOPE__BODY_APPEND_ASK = 25,
-  KW__ENVELOPE__BODY_APPEND_REPLY = 26
+  KW__ENVELOPE__BODY_APPEND_REPLY = 26,
+  KW__ENVELOPE__BODY_LEAD_BEAT = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(KW__ENVELOPE__BODY__CASE)
 } Kw__Envelope__BodyCase;
 
@@ -421,6 +422,7 @@
     Cell__LookReply *look_reply;
     Cell__AppendAsk *append_ask;
     Cell__AppendReply *append_reply;
+    Cell__LeadBeat *lead_beat;
   };
 };
 #define KW__ENVELOPE__INIT \
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -13,6 +13,7 @@
 	uint32_t won;
 	uint32_t lost;
 	bool weak;
+	bool silent; /* it doesn't hear of the holder */
 };
 
 static void on_won(void *ctx, uint64_t term)
@@ -36,7 +37,14 @@
 	g_strlcpy(((struct voter *)ctx)->holder, address, 32);
 }
 
-static const struct election_ops ops = { .won = on_won, .lost = on_lost, .holder = on_holder };
+static bool on_silent(void *ctx)
+{
+	return ((struct voter *)ctx)->silent;
+}
+
+static const struct election_ops ops = {
+	.won = on_won, .lost = on_lost, .holder = on_holder, .silent = on_silent
+};
 
 static void voter_begin(struct voter *v, struct fake_log *l, const char *name)
 {
@@ -122,6 +130,56 @@
 	end(l, v, 2);
 }
 
+/*
+ * Pattern: the VM of the scheduler loses power, freezes or is cut off under load; jobs have about a
+ * second to spare. Its links are silent too, so that the lease is not waited for.
+ */
+Test(election, a_silent_holder_is_replaced_soon)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	pair_begin(l, v);
+	fake_forget(v[0].client);
+	g_clear_pointer(&v[0].election, election_destroy);
+	v[1].silent = true;
+	pass(l, v, 2, ELECTION_QUICK_MS + 300);
+	cr_assert_gt(v[1].term, 0);
+	end(l, v, 2);
+}
+
+/* Links that are cut between two nodes say nothing of a scheduler whose renewals are read. */
+Test(election, a_silent_holder_that_renews_stays)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	pair_begin(l, v);
+	v[1].silent = true;
+	pass(l, v, 2, 10000);
+	cr_assert_gt(v[0].term, 0);
+	cr_assert_eq(v[1].won, 0);
+	end(l, v, 2);
+}
+
+/* Pattern: the store turns the scheduler away and serves the others. */
+Test(election, a_holder_knows_that_it_is_not_renewed)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[1] = { 0 };
+
+	voter_begin(&v[0], l, "a");
+	pass(l, v, 1, 1000);
+	cr_assert(election_renewing(v[0].election));
+	fake_mode(v[0].client, FAKE_REFUSES);
+	pass(l, v, 1, ELECTION_RENEW_MS + 2 * TICK_MS);
+	cr_assert_not(election_renewing(v[0].election));
+	fake_mode(v[0].client, FAKE_WELL);
+	pass(l, v, 1, 1000);
+	cr_assert(election_renewing(v[0].election));
+	end(l, v, 1);
+}
+
 /* The store is away for all: the holder goes on, and nobody claims right after its return. */
 Test(election, nobody_claims_right_after_an_outage)
 {
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include "connection/links.h"
+#include "link.h"
 #include "fakestore.h"
 #include "process/helper.h"
 #include "process/relay.h"
@@ -23,6 +24,7 @@
 	bool answered;
 	bool silent;  /* orders are not carried out */
 	bool refuses; /* records */
+	bool away;    /* as the scheduler it doesn't reach the store */
 	char ticket[16];
 };
 
@@ -92,7 +94,13 @@
 	((struct end *)ctx)->peers = n;
 }
 
+static bool on_renewed(void *ctx)
+{
+	return !((struct end *)ctx)->away;
+}
+
 static const struct links_ops ops = {
+	.renewed = on_renewed,
 	.state = on_state,
 	.ask = on_ask,
 	.advised = on_advised,
@@ -282,6 +290,96 @@
 	end_close(&b);
 }
 
+/* Runs the loop for one beat and its echo; time moves in steps that no stall explains. */
+static void beat(int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += 50) {
+		fake_now_ms += 50;
+		for (int i = 0; i < 600; i++) {
+			g_main_context_iteration(NULL, FALSE);
+			g_usleep(100);
+		}
+	}
+}
+
+/*
+ * Beats tell a node that the scheduler is there, and that it reaches the store; their echo tells
+ * the scheduler that the node is.
+ */
+Test(links, beats)
+{
+	struct end a = { 0 };
+	struct end b = { 0 };
+
+	fake_now_ms = 1000000;
+	pair(&a, &b, PORT + 9);
+	beat(600);
+	cr_assert_lt(links_silence_ms(b.links), 400);
+	cr_assert_not_null(links_pick(a.links, "dc", "r", 0));
+	a.away = true;
+	beat(600);
+	cr_assert_geq(links_silence_ms(b.links), 400);
+	cr_assert_not_null(links_pick(a.links, "dc", "r", 0));
+	end_close(&b);
+	end_close(&a);
+}
+
+static void ignore_message(void *ctx, struct link *l, const Kw__Envelope *e, uint32_t size)
+{
+}
+
+static void ignore_closed(void *ctx, struct link *l, const char *why)
+{
+}
+
+static const struct link_ops mute_ops = { .message = ignore_message, .closed = ignore_closed };
+static const struct link_conf mute_conf = { .frame_max_bytes = 65536, .queue_max_bytes = 65536 };
+
+/* A node that has linked to the scheduler and says nothing more. */
+static struct link *mute_node(uint16_t port)
+{
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) conn =
+		g_socket_client_connect_to_host(client, "127.0.0.1", port, NULL, NULL);
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LinkHello hello = CELL__LINK_HELLO__INIT;
+	struct link *l;
+
+	cr_assert_not_null(conn);
+	l = link_create(conn, &mute_conf, &mute_ops, NULL);
+	hello.node = "mute";
+	hello.dc = "dc";
+	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
+	e.link_hello = &hello;
+	cr_assert_gt(link_send(l, &e, 0), 0);
+	return l;
+}
+
+/* Pattern: a node is cut off. Orders and questions to it would wait until TCP gives up. */
+Test(links, nodes_that_fall_silent_get_no_work)
+{
+	const char *const names[] = { "r1" };
+	struct end a = { 0 };
+	struct status st = STATUS_INIT;
+	struct link *mute;
+
+	fake_now_ms = 1000000;
+	end_open(&a, "a");
+	cr_assert(links_listen(a.links, "127.0.0.1", PORT + 10, &st), "%s", st.message);
+	mute = mute_node(PORT + 10);
+	while (!*links_successor(a.links))
+		g_main_context_iteration(NULL, TRUE);
+	cr_assert(links_ask_advice(a.links, 1, "s", names, 1, 1000, 5000));
+	cr_assert_not_null(links_pick(a.links, "dc", "r", 0));
+	beat(700);
+	cr_assert_eq(a.advised, 1);
+	cr_assert_not(a.answered);
+	cr_assert_null(links_pick(a.links, "dc", "r", 0));
+	cr_assert_not(links_ask_advice(a.links, 2, "s", names, 1, 1000, 5000));
+	link_destroy(mute);
+	end_close(&a);
+}
+
 Test(links, advice_goes_to_the_node_and_back)
 {
 	const char *const names[] = { "r1", "r2" };
