--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -4,11 +4,16 @@
 #include "scheduler_priv.h"
 #include "yield.h"
 
-#define ASK_NAMES_MAX 100    /* runners in one question, the platform's bound */
-#define ASK_NAMES_MIN 8	     /* named even where naming costs more than deciding */
-#define ASK_LOAD_US   400000 /* outstanding calls of a helper; beyond it, answers come too late */
-#define BARREN_STEPS  48     /* in a row without room; of those after them few would find any */
-#define BLOCKED_GANGS 2	     /* gangs of a pool that keep room free while they wait */
+#define ASK_NAMES_MAX 100   /* runners in one question, the platform's bound */
+#define ASK_NAMES_MIN 8	    /* named even where naming costs more than deciding */
+#define ASK_LONG_US   80000 /* of a question; urgent steps take 25 ms, all others 155 or more */
+#define ASK_KEPT_PART 3	    /* one of so many helpers is kept from long questions */
+#define ASK_SHORT_US                                                                               \
+	75000 /* short questions under way for a helper: three, to hide the way there */
+#define SETTLE_MS                                                                                  \
+	100 /* a new scheduler waits for its runners: 24 ms there and back, and slow VMs */
+#define BARREN_STEPS  48 /* in a row without room; of those after them few would find any */
+#define BLOCKED_GANGS 2	 /* gangs of a pool that keep room free while they wait */
 
 /* One placement pass over a pool of runners. */
 struct pass_pool {
@@ -232,21 +237,59 @@
 		g_ptr_array_add(out, found->pdata[i]);
 }
 
-static void send_question(struct pass *pass, const struct target *t, const GPtrArray *exec)
+static uint64_t question_cost_us(const struct target *t, uint32_t names)
+{
+	return t->queue ? t->queue->decide_us + (uint64_t)t->queue->interval_us * names : 0;
+}
+
+/*
+ * The advisor answers each helper's questions one after the other. A long one takes twenty times as
+ * long as that of an urgent step, so each helper gets one at a time and some get none.
+ */
+static bool may_ask(const struct scheduler *s, uint64_t cost_us)
+{
+	uint32_t helpers = MAX(s->helpers, 1);
+	uint32_t kept = helpers > 1 ? MAX(helpers / ASK_KEPT_PART, 1) : 0;
+
+	if (cost_us > ASK_LONG_US)
+		return s->asking_long < helpers - kept;
+	return s->asking_short_us <
+	       (uint64_t)ASK_SHORT_US * MAX(helpers - MIN(s->asking_long, helpers), 1);
+}
+
+void pick_question_begins(struct scheduler *s, struct advice *a, uint64_t cost_us)
+{
+	a->asking = true;
+	a->cost_us = cost_us;
+	if (cost_us > ASK_LONG_US)
+		s->asking_long++;
+	else
+		s->asking_short_us += cost_us;
+}
+
+void pick_question_ends(struct scheduler *s, struct advice *a)
+{
+	if (!a->asking)
+		return;
+	a->asking = false;
+	if (a->cost_us > ASK_LONG_US)
+		s->asking_long--;
+	else
+		s->asking_short_us -= a->cost_us;
+}
+
+static void send_question(struct pass *pass, const struct target *t, const GPtrArray *exec,
+			  uint64_t cost_us)
 {
 	struct scheduler *s = pass->s;
 	g_autofree const char **names = g_new(const char *, exec->len);
 	char step[TASK_NAME_BYTES];
-	uint64_t cost_us =
-		t->queue ? t->queue->decide_us + (uint64_t)t->queue->interval_us * exec->len : 0;
 
 	for (guint i = 0; i < exec->len; i++)
 		names[i] = ((const struct exec *)exec->pdata[i])->id;
 	plan_step_name(t->plan, t->step, step);
 	t->pool->barren = 0;
-	t->step->advice->asking = true;
-	t->step->advice->cost_us = cost_us;
-	s->asking_us += cost_us;
+	pick_question_begins(s, t->step->advice, cost_us);
 	s->sums.asks++;
 	s->ops->ask(s->ctx, step, names, exec->len, cost_us);
 }
@@ -281,14 +324,19 @@
 		t->pool->barren++;
 		return;
 	}
-	if (a->retry_ms > s->now_ms || s->asking_us > (uint64_t)ASK_LOAD_US * MAX(s->helpers, 1)) {
+	if (a->retry_ms > s->now_ms) {
 		s->sums.steps_not_asked++;
 		return;
 	}
 	add_candidates(t, exec, VERDICT_APPROVED, true, names_max(t));
 	add_candidates(t, exec, VERDICT_UNKNOWN, !first, names_max(t));
-	if (exec->len)
-		send_question(pass, t, exec);
+	if (exec->len == 0)
+		return;
+	if (!may_ask(s, question_cost_us(t, exec->len))) {
+		s->sums.steps_not_asked++;
+		return;
+	}
+	send_question(pass, t, exec, question_cost_us(t, exec->len));
 }
 
 /* Sets room aside for tasks that only wait for the advisor's answer. */
@@ -452,11 +500,30 @@
 	}
 }
 
+/* Steps that are placed, or asked about, with few of the runners known have to be asked about
+ * again. */
+static bool settled(const struct scheduler *s)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (s->now_ms - s->begun_ms >= SETTLE_MS)
+		return true;
+	g_hash_table_iter_init(&it, s->exec);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct exec *e = value;
+
+		if (e->address && !e->contacted && e->misses == 0)
+			return false;
+	}
+	return true;
+}
+
 void pick_tasks(struct scheduler *s)
 {
 	struct pass pass = { .s = s };
 
-	if (!s->queues)
+	if (!s->queues || !settled(s))
 		return;
 	sort_open(s);
 	gather(&pass);
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -132,8 +132,8 @@
 				scheduler_drop_run(s, p->task[i].live);
 	}
 	for (uint32_t i = 0; i < p->n_step; i++) {
-		if (p->step[i].advice && p->step[i].advice->asking)
-			s->asking_us -= p->step[i].advice->cost_us;
+		if (p->step[i].advice)
+			pick_question_ends(s, p->step[i].advice);
 		g_clear_pointer(&p->step[i].advice, advice_destroy);
 	}
 	g_ptr_array_remove(s->open, p);
@@ -155,6 +155,7 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->now_ms = now_ms;
+	s->begun_ms = now_ms;
 	s->wall_ms = g_get_real_time() / 1000;
 	s->batch_next = 1;
 	s->inherited_until_ms = now_ms + conf->inherited_ms;
@@ -233,10 +234,7 @@
 	of = p ? plan_step_number(p, occurrence, number) : NULL;
 	if (!of || !of->advice)
 		return;
-	if (of->advice->asking) {
-		of->advice->asking = false;
-		s->asking_us -= of->advice->cost_us;
-	}
+	pick_question_ends(s, of->advice);
 	if (!answered) {
 		of->advice->retry_ms = now_ms + ASK_RETRY_MS;
 		return;
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -27,8 +27,10 @@
 	uint64_t batch_next; /* the batch that is written next */
 	uint64_t batch_acked;
 	bool writing;
-	uint32_t helpers;   /* processes that ask the advisor */
-	uint64_t asking_us; /* time of the advisor that calls under way take */
+	uint32_t helpers;	  /* processes that ask the advisor */
+	uint32_t asking_long;	  /* long questions under way */
+	uint64_t asking_short_us; /* time of the advisor that the others under way take */
+	int64_t begun_ms;
 	bool fenced;
 	int64_t now_ms;
 	int64_t wall_ms;
@@ -94,6 +96,9 @@
 /* looks_read - takes what the runner lists. sent_ms: when it was asked. */
 void looks_read(struct scheduler *s, struct exec *e, const struct look *look, int64_t sent_ms);
 
+/* pick_question_begins, pick_question_ends - of a step to the advisor. */
+void pick_question_begins(struct scheduler *s, struct advice *a, uint64_t cost_us);
+void pick_question_ends(struct scheduler *s, struct advice *a);
 /* pick_tasks - places what can start now, and asks for advice where it is missing. */
 void pick_tasks(struct scheduler *s);
 
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -132,6 +132,63 @@
 	bed_destroy(b);
 }
 
+/*
+ * Pattern: after a takeover many steps wait for advice at once. Questions of 400 ms in front of
+ * urgent ones of 20 ms made these late; some helpers are kept from long ones, the least urgent
+ * wait.
+ */
+Test(advice, long_questions_leave_helpers_to_urgent_steps)
+{
+	static const struct {
+		uint32_t helpers;
+		uint32_t longs;
+	} cases[] = { { 1, 1 }, { 2, 1 }, { 4, 3 }, { 6, 4 }, { 8, 6 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct bed *b = advised_bed(1);
+		uint32_t longs = 0;
+
+		scheduler_set_helpers(b->sched, cases[i].helpers);
+		for (int k = 0; k < 10; k++) {
+			g_autofree char *id = g_strdup_printf("00000000000000d%d", k);
+
+			bed_submit(b, bed_job(id, "slow", 1, 10));
+		}
+		bed_pass(b, 1);
+		cr_expect_eq(b->asks, cases[i].longs, "%u helpers", cases[i].helpers);
+		bed_submit(b, bed_job(ID_A, "quick", 1, 10));
+		bed_pass(b, 1);
+		cr_expect_eq(b->asks, cases[i].longs + 1, "%u helpers", cases[i].helpers);
+		while (b->ask->len && longs < 10) {
+			longs += bed_advise(b, "", 2000);
+			bed_pass(b, 1);
+		}
+		cr_expect_eq(b->asks, 11, "all are asked about in the end");
+		bed_destroy(b);
+	}
+}
+
+/* Pattern: a new scheduler reaches its runners one after the other. */
+Test(advice, a_new_scheduler_asks_about_all_runners_at_once)
+{
+	struct bed *b = bed_create();
+
+	bed_queue(b, "quick", "desk", 0, 3, 17);
+	bed_begin(b);
+	bed_runner(b, "r0", "desk", "rack0", 1000, 8);
+	bed_runner(b, "r1", "desk", "rack0", 1000, 8);
+	bed_submit(b, bed_job(ID_A, "quick", 1, 100));
+	bed_pass(b, 1);
+	bed_look_answer(b, "r0", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	cr_assert_eq(b->asks, 0);
+	bed_look_answer(b, "r1", NULL, 0, NULL, 0);
+	bed_pass(b, 1);
+	cr_assert_eq(b->asks, 1);
+	cr_assert_eq(question(b)->n, 2);
+	bed_destroy(b);
+}
+
 Test(advice, no_answer_is_asked_again_after_a_while)
 {
 	struct bed *b = advised_bed(1);
