Jobs are planned while their record is stored, appends overlap, and a scheduler that stops goes on

Cause: with a store 87 times as slow an append takes 520 ms, and waits for the one before. A planned stop in that time left 2.2 s without a scheduler, in which all nodes appended by themselves and the partition's queue grew until it refused.

Change: the node that schedules plans a job at once, but orders no start and tells nobody of it before its record is stored. Two appends of a partition may be under way, the second not before half of the time that they take. A holder that stops appends its release and goes on until another claims, 2 s at the most.

--- a/packages/cell/process/book.c
+++ b/packages/cell/process/book.c
@@ -52,21 +52,53 @@
 		b->ops.changed(b->ctx, p);
 }
 
-static bool apply_job(struct book *b, const char *id, const uint8_t *value, size_t size)
+/* NULL if it can't be read, or is another job. */
+static Cell__Job *read_job(const char *id, const uint8_t *value, size_t size)
 {
 	Cell__Job *job = cell__job__unpack(NULL, size, value);
+
+	if (job && g_str_equal(job->id, id) && !plan_check(job))
+		return job;
+	if (job)
+		cell__job__free_unpacked(job, NULL);
+	return NULL;
+}
+
+static bool apply_job(struct book *b, const char *id, const uint8_t *value, size_t size)
+{
+	Cell__Job *job = read_job(id, value, size);
 	struct plan *p;
 
-	if (!job || !g_str_equal(job->id, id) || plan_check(job)) {
-		if (job)
-			cell__job__free_unpacked(job, NULL);
+	if (!job)
 		return false;
-	}
 	p = get(b, id);
-	if (p->job) {
+	if (p->job && !p->tentative) {
 		cell__job__free_unpacked(job, NULL);
 		return true;
 	}
+	if (p->job)
+		cell__job__free_unpacked(job, NULL);
+	else
+		plan_set_job(p, job);
+	p->tentative = false;
+	changed(b, p);
+	return true;
+}
+
+bool book_offer(struct book *b, const char *key, const uint8_t *value, size_t size)
+{
+	struct plan *p;
+	Cell__Job *job;
+
+	if (strlen(key) != JOB_ID_LEN || !plan_is_id(key) || size == 0)
+		return false;
+	if (g_hash_table_contains(b->plan, key))
+		return false;
+	job = read_job(key, value, size);
+	if (!job)
+		return false;
+	p = get(b, key);
+	p->tentative = true;
 	plan_set_job(p, job);
 	changed(b, p);
 	return true;
@@ -111,6 +143,16 @@
 	g_hash_table_remove(b->plan, id);
 }
 
+bool book_withdraw(struct book *b, const char *id)
+{
+	const struct plan *p = g_hash_table_lookup(b->plan, id);
+
+	if (!p || !p->tentative)
+		return false;
+	drop(b, id, true);
+	return true;
+}
+
 bool book_apply(struct book *b, const char *key, const uint8_t *value, size_t size)
 {
 	char id[JOB_ID_LEN + 1];
@@ -165,7 +207,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct plan *p = value;
 
-		if (p->job && !p->started && !p->cancelled && !plan_ended(p) &&
+		if (p->job && !p->tentative && !p->started && !p->cancelled && !plan_ended(p) &&
 		    g_str_equal(p->job->queue, queue))
 			n++;
 	}
--- a/packages/cell/process/book.h
+++ b/packages/cell/process/book.h
@@ -23,7 +23,14 @@
 void book_watch(struct book *b, const struct book_ops *ops, void *ctx);
 /* book_apply - one record; false if it can't be read, which leaves the book as it was. */
 bool book_apply(struct book *b, const char *key, const uint8_t *value, size_t size);
-/* book_find - NULL if the job was not read, or only other records of it. */
+/*
+ * book_offer - a job whose record is being stored; true if it is one that was not known. It is
+ * tentative until book_apply() with the same key, or book_withdraw().
+ */
+bool book_offer(struct book *b, const char *key, const uint8_t *value, size_t size);
+/* book_withdraw - forgets the job if it is still tentative; false if it is not. */
+bool book_withdraw(struct book *b, const char *id);
+/* book_find - NULL if the job was not read, or only other records of it; it may be tentative. */
 struct plan *book_find(const struct book *b, const char *id);
 /* book_find_task - the number of the task of that name in its job *p; UINT32_MAX if there is none.
  */
--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -1,5 +1,10 @@
 #include "scheduler_priv.h"
 
+#define BATCHES_MAX                                                                                \
+	2 /* under way: a partition of a slow store takes 180 ms for each, one after the other */
+#define BATCH_OVERLAP_MS 100 /* a quick store answers sooner, and one batch at a time is enough */
+#define WRITE_WEIGHT	 4   /* of the time that writes took so far, to the newest */
+
 void scheduler_mark(struct scheduler *s, struct plan *p)
 {
 	if (p->dirty)
@@ -74,12 +79,34 @@
 	}
 }
 
-void progress_write(struct scheduler *s)
+/* One at a time while the store is quick, so that it takes few calls. */
+static int64_t write_due_ms(const struct scheduler *s)
+{
+	if (s->writing == 0)
+		return s->now_ms;
+	if (s->writing >= BATCHES_MAX)
+		return INT64_MAX;
+	return s->batch_sent_ms + MAX(s->write_ms / BATCHES_MAX, BATCH_OVERLAP_MS);
+}
+
+void progress_written(struct scheduler *s, uint64_t batch)
+{
+	/* Of several that are written, the newest was sent last. */
+	if (batch + 1 == s->batch_next)
+		s->write_ms = (s->write_ms * (WRITE_WEIGHT - 1) + s->now_ms - s->batch_sent_ms) /
+			      WRITE_WEIGHT;
+	s->writing -= (uint32_t)(batch - s->batch_acked);
+	s->batch_acked = batch;
+}
+
+int64_t progress_write(struct scheduler *s, int64_t next_ms)
 {
 	GPtrArray *records;
 
-	if (s->writing || s->dirty->len == 0)
-		return;
+	if (s->dirty->len == 0)
+		return next_ms;
+	if (write_due_ms(s) > s->now_ms)
+		return MIN(next_ms, write_due_ms(s));
 	records = g_ptr_array_new_with_free_func(record_free);
 	for (guint i = 0; i < s->dirty->len; i++) {
 		struct plan *p = s->dirty->pdata[i];
@@ -94,6 +121,8 @@
 	}
 	g_ptr_array_set_size(s->dirty, 0);
 	stamp_intents(s);
-	s->writing = true;
+	s->writing++;
+	s->batch_sent_ms = s->now_ms;
 	s->ops->write(s->ctx, s->batch_next++, records);
+	return next_ms;
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -109,6 +109,29 @@
 	scheduler_job(s, p, s->now_ms);
 }
 
+/* With a slow store the intent may take longer than the ticket lasts. */
+static bool ticket_over(const struct scheduler *s, const struct run *r)
+{
+	return r->ticket && r->ticket_until_ms < s->now_ms + ORDER_WAY_MS;
+}
+
+/* Those whose intent is stored, and their job too. */
+static void order_planned(struct scheduler *s)
+{
+	for (guint i = s->planned->len; i > 0; i--) {
+		struct run *r = s->planned->pdata[i - 1];
+
+		if (!r->batch || r->batch > s->batch_acked || r->plan->tentative)
+			continue;
+		g_ptr_array_remove_index_fast(s->planned, i - 1);
+		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r) ||
+		    s->now_ms > s->grant_until_ms)
+			runs_refused(s, r, 0);
+		else
+			runs_order_start(s, r);
+	}
+}
+
 void scheduler_job(struct scheduler *s, struct plan *p, int64_t now_ms)
 {
 	s->now_ms = now_ms;
@@ -122,6 +145,8 @@
 	open_job(s, p);
 	if (p->cancelled)
 		scheduler_end_job(s, p, JOB_CANCELLED);
+	else
+		order_planned(s);
 }
 
 void scheduler_job_dropped(struct scheduler *s, struct plan *p)
@@ -260,7 +285,7 @@
 	for (guint i = s->open->len; i > 0; i--) {
 		struct plan *p = s->open->pdata[i - 1];
 
-		if (p->written_batch == s->batch_acked)
+		if (p->written_batch && p->written_batch <= s->batch_acked)
 			p->shown = p->written_state;
 		if (plan_ended(p) && p->shown == p->state && !p->live && !p->dirty) {
 			p->listed = false;
@@ -269,30 +294,14 @@
 	}
 }
 
-/* With a slow store the intent may take longer than the ticket lasts. */
-static bool ticket_over(const struct scheduler *s, const struct run *r)
-{
-	return r->ticket && r->ticket_until_ms < s->now_ms + ORDER_WAY_MS;
-}
-
 void scheduler_written(struct scheduler *s, uint64_t batch, int64_t now_ms)
 {
 	s->now_ms = now_ms;
-	s->writing = false;
-	s->batch_acked = batch;
+	if (batch <= s->batch_acked)
+		return;
+	progress_written(s, batch);
 	show(s);
-	for (guint i = s->planned->len; i > 0; i--) {
-		struct run *r = s->planned->pdata[i - 1];
-
-		if (!r->batch || r->batch > batch)
-			continue;
-		g_ptr_array_remove_index_fast(s->planned, i - 1);
-		if (r->stopping || !scheduler_usable(s, r->exec) || ticket_over(s, r) ||
-		    now_ms > s->grant_until_ms)
-			runs_refused(s, r, 0);
-		else
-			runs_order_start(s, r);
-	}
+	order_planned(s);
 }
 
 static void find_expired(void *ctx, struct plan *p)
@@ -314,7 +323,7 @@
 		return next;
 	next = runners_check(s, next);
 	pick_tasks(s);
-	progress_write(s);
+	next = progress_write(s, next);
 	if (now_ms >= s->expire_ms) {
 		s->expire_ms = now_ms + EXPIRE_EVERY_MS;
 		book_each(s->book, find_expired, s);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -26,7 +26,9 @@
 	uint32_t next_handle;
 	uint64_t batch_next; /* the batch that is written next */
 	uint64_t batch_acked;
-	bool writing;
+	uint32_t writing;	  /* batches under way */
+	int64_t batch_sent_ms;	  /* when the newest of them was sent */
+	int64_t write_ms;	  /* what writes took lately */
 	uint32_t helpers;	  /* processes that ask the advisor */
 	uint32_t asking_long;	  /* long questions under way */
 	uint64_t asking_short_us; /* time of the advisor that the others under way take */
@@ -102,7 +104,12 @@
 /* pick_tasks - places what can start now, and asks for advice where it is missing. */
 void pick_tasks(struct scheduler *s);
 
-/* progress_write - begins to write what has changed, unless a write is under way. */
-void progress_write(struct scheduler *s);
+/*
+ * progress_write - begins to write what has changed, unless writes under way are waited for; when
+ * to try again, next_ms at the latest.
+ */
+int64_t progress_write(struct scheduler *s, int64_t next_ms);
+/* progress_written - the batch and those before it are stored. */
+void progress_written(struct scheduler *s, uint64_t batch);
 
 #endif
--- a/packages/cell/request/plan.h
+++ b/packages/cell/request/plan.h
@@ -59,6 +59,7 @@
 	Cell__Job *job; /* NULL while only other records of the job were read */
 	enum job_state state;
 	enum job_state shown; /* state that stands in the store */
+	bool tentative;	      /* not known to be stored: planned, but not started or told of */
 	bool cancelled;
 	bool started;	  /* a task was started once */
 	int64_t ended_ms; /* wall clock; 0 while it goes on */
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -22,14 +22,15 @@
 	const struct election_ops *ops;
 	void *ctx;
 	guint timer;
-	uint64_t next;	 /* offset to read from, and the end of the log as known */
-	char *holder;	 /* self of the holder, NULL for none */
-	bool freed;	 /* the holder has released the lease */
-	char *successor; /* for the release */
+	uint64_t next;		   /* offset to read from, and the end of the log as known */
+	char *holder;		   /* self of the holder, NULL for none */
+	bool freed;		   /* the holder has released the lease */
+	int64_t reserved_until_ms; /* then only its successor may claim */
+	int64_t handed_over_ms;	   /* a holder that stops goes on until then */
+	char *successor;	   /* for the release */
 	uint64_t term;
 	bool leading;
 	bool closing;
-	bool released;
 	bool release_due;
 	bool reading;
 	bool appending;
@@ -65,10 +66,10 @@
 /* A holder that is neither released nor surely ended grants leases until it notices. */
 static void replace_holder(struct election *e, const char *by)
 {
-	bool ended = !e->holder || e->freed || same_node(e->holder, by);
-	int64_t now = node_now_ms();
+	bool ended = !e->holder || same_node(e->holder, by);
+	int64_t left_ms = ended ? 0 : e->freed ? ELECTION_HANDOVER_MS : ELECTION_GRANT_MS;
 
-	e->past_ms = MAX(e->past_ms, ended ? now : now + ELECTION_GRANT_MS);
+	e->past_ms = MAX(e->past_ms, node_now_ms() + left_ms);
 	e->freed = false;
 	g_free(e->holder);
 	e->holder = g_strdup(by);
@@ -110,14 +111,13 @@
 	e->ops->holder(e->ctx, m->address, term);
 }
 
+/* The holder schedules until another node claims, and is followed until then. */
 static void take_release(struct election *e, const Cell__Lead *m)
 {
-	e->ops->holder(e->ctx, "", e->term);
+	bool ours = !*m->successor || g_str_equal(m->successor, e->self);
+
 	e->freed = true;
-	if (!*m->successor || g_str_equal(m->successor, e->self))
-		g_clear_pointer(&e->holder, g_free);
-	else
-		e->heard_ms = node_now_ms() - ELECTION_LEASE_MS + HINT_MS;
+	e->reserved_until_ms = ours ? 0 : node_now_ms() + HINT_MS;
 }
 
 static void apply(struct election *e, const struct store_record *rec)
@@ -178,13 +178,11 @@
 /* A renewal that was under way when the release was asked for comes first. */
 static void on_closing_appended(struct election *e, enum store_result result, uint64_t offset)
 {
-	if (!e->release_due || result != STORE_OK) {
-		e->released = true;
-		return;
-	}
+	if (result == STORE_OK)
+		e->next = offset + 1;
+	if (e->release_due)
+		append(e, CELL__LEAD_KIND__RELEASE);
 	e->release_due = false;
-	e->next = offset + 1;
-	append(e, CELL__LEAD_KIND__RELEASE);
 }
 
 static void on_appended(void *ctx, enum store_result result, uint64_t offset)
@@ -246,17 +244,28 @@
 
 	if (!e->caught_up || !e->answering_ms || e->closing)
 		return false;
-	if (!e->holder || holder_is_past(e))
+	if (!e->holder || holder_is_past(e) || (e->freed && now >= e->reserved_until_ms))
 		return !e->weak || (e->free_ms && now - e->free_ms > ELECTION_WEAK_MS);
 	if (now - since > ELECTION_QUICK_MS + e->spread_ms && e->ops->silent(e->ctx))
 		return true;
 	return now - since > ELECTION_LEASE_MS + e->spread_ms;
 }
 
+/* Reads until another node has claimed. */
+static void hand_over(struct election *e, int64_t now)
+{
+	if (now >= e->handed_over_ms)
+		step_down(e, "it stops");
+	else if (!e->reading)
+		read_log(e, READ_WAIT_MS);
+}
+
 static void lead(struct election *e, int64_t now)
 {
 	if (now - e->renewed_ms > ELECTION_STOP_MS)
 		step_down(e, "it was not renewed in time");
+	else if (e->closing)
+		hand_over(e, now);
 	else if (e->resync && !e->reading)
 		read_log(e, 0);
 	else if (!e->resync && now - e->renewed_ms >= ELECTION_RENEW_MS)
@@ -267,7 +276,7 @@
 {
 	int64_t now = node_now_ms();
 
-	if (e->holder && !holder_is_past(e))
+	if (e->holder && !e->freed && !holder_is_past(e))
 		e->free_ms = 0;
 	else if (!e->free_ms)
 		e->free_ms = now;
@@ -324,18 +333,13 @@
 
 void election_release(struct election *e, const char *successor)
 {
-	bool leading = e->leading;
-
 	g_free(e->successor);
 	e->successor = g_strdup(successor);
-
 	e->closing = true;
-	step_down(e, "it stops");
-	e->release_due = leading && e->appending;
-	if (leading && !e->appending)
+	e->handed_over_ms = node_now_ms() + ELECTION_HANDOVER_MS;
+	e->release_due = e->leading && e->appending;
+	if (e->leading && !e->appending)
 		append(e, CELL__LEAD_KIND__RELEASE);
-	else if (!e->appending)
-		e->released = true;
 }
 
 void election_suspect(struct election *e)
@@ -353,7 +357,8 @@
 
 bool election_renewing(const struct election *e)
 {
-	return !e->failed && (!e->appending || node_now_ms() - e->sent_ms < DOUBT_MS);
+	return !e->failed && !e->closing &&
+	       (!e->appending || node_now_ms() - e->sent_ms < DOUBT_MS);
 }
 
 int64_t election_renewed_ms(const struct election *e)
@@ -368,5 +373,5 @@
 
 bool election_released(const struct election *e)
 {
-	return e->released;
+	return e->closing && !e->leading;
 }
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -14,11 +14,12 @@
  * by itself. One that was not renewed for ELECTION_GRANT_MS grants no leases to runners any more,
  * so that its successor knows when the last of them ends.
  */
-#define ELECTION_RENEW_MS  400	/* four renewals may get lost before the lease ends */
-#define ELECTION_LEASE_MS  2000 /* half of the platform's bound for a machine out of touch */
-#define ELECTION_QUICK_MS  900	/* two renewals lost; only for a holder that is silent too */
-#define ELECTION_SILENT_MS 500	/* three beats of the holder lost */
-#define ELECTION_STOP_MS   8000 /* longer than most outages of the store, in which work goes on */
+#define ELECTION_RENEW_MS    400  /* four renewals may get lost before the lease ends */
+#define ELECTION_LEASE_MS    2000 /* half of the platform's bound for a machine out of touch */
+#define ELECTION_QUICK_MS    900  /* two renewals lost; only for a holder that is silent too */
+#define ELECTION_SILENT_MS   500  /* three beats of the holder lost */
+#define ELECTION_HANDOVER_MS 2000 /* release, claim and fence take 1.6 s in a slow store */
+#define ELECTION_STOP_MS     8000 /* longer than most outages of the store, in which work goes on */
 #define ELECTION_GRANT_MS                                                                          \
 	3000 /* a lease of the holder, and a renewal under way in a slow store                     \
 	      */
@@ -50,7 +51,8 @@
 void election_tick(struct election *e);
 /*
  * election_release - gives the lease back and never claims again. successor is the self of a node
- * that should claim it, "" for any; the others wait a little.
+ * that should claim it, "" for any; the others wait a little. The holder goes on until it reads of
+ * another claim or is superseded, for ELECTION_HANDOVER_MS at the most.
  */
 void election_release(struct election *e, const char *successor);
 /* election_suspect - the holder's process seems to have ended: its lease is not waited for. */
@@ -63,7 +65,7 @@
 int64_t election_renewed_ms(const struct election *e);
 /* election_past_ms - no earlier holder grants a lease to a runner after that time. */
 int64_t election_past_ms(const struct election *e);
-/* election_released - the release stands in the log, or there was nothing to release. */
+/* election_released - another node has taken over, is not waited for, or need not. */
 bool election_released(const struct election *e);
 
 #endif
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -7,11 +7,20 @@
 #define AWAY_MISSES 2 /* calls in a row without an answer: the store is away */
 #define TICK_MS	    20
 
-/* Answers of an older term, or of an older batch, are not taken for those of the current one. */
+/* Progress of the scheduler that is not known to be stored. */
+struct batch {
+	uint64_t no;
+	uint64_t seq;
+	GPtrArray *records;
+	bool sent;
+	int64_t due_ms; /* not to be sent again before */
+};
+
+/* Answers of an older term, or to a batch that is known to be stored, are not needed any more. */
 struct batch_call {
 	struct joblog *log;
 	uint64_t term;
-	uint64_t batch;
+	uint64_t no;
 	int64_t sent_ms;
 };
 
@@ -51,64 +60,99 @@
 		log_notice("store", NULL, "the store does not answer");
 }
 
-static void drop_batch(struct joblog *j)
+static void batch_free(gpointer data)
+{
+	struct batch *b = data;
+
+	g_ptr_array_unref(b->records);
+	g_free(b);
+}
+
+static struct batch *find_batch(const struct joblog *j, uint64_t no)
+{
+	for (guint i = 0; i < j->batch->len; i++) {
+		struct batch *b = j->batch->pdata[i];
+
+		if (b->no == no)
+			return b;
+	}
+	return NULL;
+}
+
+/* The sequence numbers prove that those before it are stored too. */
+static void batch_stored(struct joblog *j, uint64_t no)
 {
-	g_clear_pointer(&j->batch, g_ptr_array_unref);
-	j->batch_sent = false;
+	while (j->batch->len && ((struct batch *)j->batch->pdata[0])->no <= no)
+		g_ptr_array_remove_index(j->batch, 0);
+	j->ops->written(j->ctx, no);
 }
 
 static void on_batch_appended(void *ctx, enum store_result result, uint64_t offset)
 {
 	struct batch_call *call = ctx;
 	struct joblog *j = call->log;
-	uint64_t batch = call->batch;
-	bool current = j->leading && call->term == j->term && j->batch && j->batch_no == batch;
+	struct batch *b = j->leading && call->term == j->term ? find_batch(j, call->no) : NULL;
 
 	joblog_note_append(j, result, node_now_ms() - call->sent_ms);
 	g_free(call);
-	if (!current)
+	if (!b)
 		return;
-	j->batch_sent = false;
+	b->sent = false;
 	if (result == STORE_OK) {
-		j->seq++;
-		drop_batch(j);
-		j->ops->written(j->ctx, batch);
-	} else if (result == STORE_FENCED || result == STORE_OUT_OF_SEQUENCE) {
+		batch_stored(j, b->no);
+	} else if (result == STORE_FENCED ||
+		   (result == STORE_OUT_OF_SEQUENCE && b == j->batch->pdata[0])) {
 		log_warn("append", NULL, "progress is written by a newer scheduler");
-		drop_batch(j);
+		g_ptr_array_set_size(j->batch, 0);
 		j->ops->fenced(j->ctx);
 	} else {
-		j->batch_due_ms = node_now_ms() + RETRY_MS;
+		/* Out of sequence: the one before it was lost, and goes first. */
+		b->due_ms = node_now_ms() + RETRY_MS;
 	}
 }
 
 /* A repeated batch has the same sequence number, so that it is appended once. */
-static void send_batch(struct joblog *j)
+static void send_batch(struct joblog *j, struct batch *b)
 {
-	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term, .seq = j->seq };
+	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term, .seq = b->seq };
 	struct batch_call *call = g_new(struct batch_call, 1);
 
 	*call = (struct batch_call){
-		.log = j, .term = j->term, .batch = j->batch_no, .sent_ms = node_now_ms()
+		.log = j, .term = j->term, .no = b->no, .sent_ms = node_now_ms()
 	};
-	j->batch_sent = true;
-	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, j->batch, &terms,
+	b->sent = true;
+	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, b->records, &terms,
 			     joblog_append_timeout(j), on_batch_appended, call);
 }
 
-void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
+/* Before the records of the batch: a job that was dropped may be known again by now. */
+static void add_drops(struct joblog *j, GPtrArray *records)
 {
-	drop_batch(j);
-	j->batch = records;
-	j->batch_no = batch;
 	for (guint i = 0; i < j->drops->len; i++) {
 		struct log_record *rec = g_new0(struct log_record, 1);
 
 		rec->key = g_strdup(j->drops->pdata[i]);
-		g_ptr_array_add(records, rec);
+		g_ptr_array_insert(records, 0, rec);
 	}
 	g_ptr_array_set_size(j->drops, 0);
-	send_batch(j);
+}
+
+void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
+{
+	struct batch *b = g_new0(struct batch, 1);
+
+	b->no = batch;
+	b->seq = j->seq++;
+	b->records = records;
+	add_drops(j, records);
+	g_ptr_array_add(j->batch, b);
+	send_batch(j, b);
+}
+
+void joblog_withdraw(struct joblog *j, const char *id)
+{
+	if (j->leading && book_withdraw(j->book, id))
+		g_ptr_array_add(j->drops, g_strdup_printf("%s/p", id));
 }
 
 static void on_drop(void *ctx, enum store_result result)
@@ -158,7 +202,7 @@
 		on_lead_read(j, result);
 		return;
 	}
-	j->batch_due_ms = node_now_ms() + RETRY_MS;
+	j->fence_due_ms = node_now_ms() + RETRY_MS;
 }
 
 static void send_fence(struct joblog *j)
@@ -166,14 +210,14 @@
 	struct append_terms terms = { .producer = PRODUCER, .epoch = j->term };
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
 
-	j->batch_due_ms = INT64_MAX;
+	j->fence_due_ms = INT64_MAX;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, none, &terms, APPEND_MAX_MS,
 			     on_fenced, j);
 }
 
 void joblog_lead(struct joblog *j, uint64_t term, done_fn fn, void *ctx)
 {
-	drop_batch(j);
+	g_ptr_array_set_size(j->batch, 0);
 	j->term = term;
 	j->seq = 1;
 	j->fencing = true;
@@ -184,7 +228,7 @@
 
 void joblog_follow(struct joblog *j)
 {
-	drop_batch(j);
+	g_ptr_array_set_size(j->batch, 0);
 	j->leading = false;
 	j->fencing = false;
 	g_ptr_array_set_size(j->drops, 0);
@@ -193,12 +237,17 @@
 
 static void tick_leader(struct joblog *j, int64_t now)
 {
-	if (j->batch_due_ms > now)
+	if (j->fencing) {
+		if (j->fence_due_ms <= now)
+			send_fence(j);
 		return;
-	if (j->fencing)
-		send_fence(j);
-	else if (j->batch && !j->batch_sent)
-		send_batch(j);
+	}
+	for (guint i = 0; i < j->batch->len; i++) {
+		struct batch *b = j->batch->pdata[i];
+
+		if (!b->sent && b->due_ms <= now)
+			send_batch(j, b);
+	}
 }
 
 void joblog_tick(struct joblog *j)
@@ -226,6 +275,7 @@
 	j->ctx = ctx;
 	j->waiter = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	j->waiter_next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	j->batch = g_ptr_array_new_with_free_func(batch_free);
 	j->drops = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&j->queue);
 	for (uint32_t i = 0; i < PARTS; i++) {
@@ -248,7 +298,7 @@
 		return;
 	if (j->timer)
 		g_source_remove(j->timer);
-	drop_batch(j);
+	g_ptr_array_unref(j->batch);
 	joblog_drop_appends(j);
 	for (uint32_t i = 0; i < PARTS; i++)
 		g_free(j->reader[i].after);
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -8,9 +8,12 @@
  * reads the partitions, joblog_append.c appends what callers hand in.
  */
 
-#define TOPIC	      "keyed.jobs"
-#define PARTS	      2
-#define RETRY_MS      80   /* after a refusal or no answer */
+#define TOPIC	   "keyed.jobs"
+#define PARTS	   2
+#define RETRY_MS   80  /* after a refusal or no answer */
+#define OVERLAP_MS 100 /* a quick store answers sooner, and one call at a time is enough */
+#define CALLS_MAX                                                                                  \
+	2 /* under way: a partition of a slow store takes 180 ms for each, one after the other */
 #define APPEND_MAX_MS 1400 /* half of the time that callers have; a slow store takes 0.6 s */
 
 /* Reader of one partition. */
@@ -51,15 +54,13 @@
 	done_fn lead_fn;
 	void *lead_ctx;
 	/* Appends of the jobs' partition. */
-	GQueue queue; /* of struct pending */
-	GPtrArray *sent;
-	int64_t sent_ms;
+	GQueue queue;	 /* of struct pending */
+	uint32_t calls;	 /* under way */
+	int64_t sent_ms; /* of the newest of them */
 	int64_t append_due_ms;
 	/* Progress. */
-	GPtrArray *batch;
-	uint64_t batch_no;
-	bool batch_sent;
-	int64_t batch_due_ms;
+	GPtrArray *batch; /* of struct batch, oldest first */
+	int64_t fence_due_ms;
 	GPtrArray *drops; /* keys of progress to drop with the next batch */
 };
 
@@ -80,6 +81,8 @@
 void joblog_note_append(struct joblog *j, enum store_result result, int64_t took_ms);
 /* joblog_send_appends - the next call with waiting records, if none is under way. */
 void joblog_send_appends(struct joblog *j);
+/* joblog_withdraw - a job that was offered to the scheduler was not stored. */
+void joblog_withdraw(struct joblog *j, const char *id);
 /* joblog_drop_appends - frees the records that wait; nobody is told. */
 void joblog_drop_appends(struct joblog *j);
 
--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -27,6 +27,14 @@
 	i->scheduling = yes;
 }
 
+/* NULL unless the job is known to be stored. */
+static const struct plan *find_stored(const struct intake *i, const char *id)
+{
+	const struct plan *p = book_find(joblog_book(i->log), id);
+
+	return p && !p->tentative ? p : NULL;
+}
+
 static enum job_state told_state(const struct plan *p)
 {
 	return p->shown == JOB_QUEUED && p->started ? JOB_RUNNING : p->shown;
@@ -34,7 +42,7 @@
 
 bool intake_known(const struct intake *i, const char *id, enum job_state *state)
 {
-	const struct plan *p = book_find(joblog_book(i->log), id);
+	const struct plan *p = find_stored(i, id);
 
 	if (!p || (!i->scheduling && p->shown < JOB_DONE))
 		return false;
@@ -128,7 +136,7 @@
 {
 	struct entry *c;
 
-	if (book_find(joblog_book(i->log), job->id)) {
+	if (find_stored(i, job->id)) {
 		cell__job__free_unpacked(job, NULL);
 		fn(ctx, INTAKE_OK);
 		return;
@@ -157,7 +165,7 @@
 {
 	struct entry *c = ctx;
 
-	if (result == STORE_OK && !book_find(joblog_book(c->intake->log), c->id)) {
+	if (result == STORE_OK && !find_stored(c->intake, c->id)) {
 		c->fn(c->ctx, INTAKE_NOT_FOUND);
 		entry_free(c);
 	} else if (result == STORE_OK) {
@@ -173,7 +181,7 @@
 
 	c->fn = fn;
 	c->until_ms = until_ms;
-	if (book_find(joblog_book(i->log), id))
+	if (find_stored(i, id))
 		append_cancel(c);
 	else
 		joblog_refresh(i->log, on_cancel_refreshed, c);
@@ -188,7 +196,7 @@
 static void on_state_refreshed(void *ctx, enum store_result result)
 {
 	struct entry *c = ctx;
-	const struct plan *p = book_find(joblog_book(c->intake->log), c->id);
+	const struct plan *p = find_stored(c->intake, c->id);
 
 	if (result != STORE_OK)
 		finish_state(c, INTAKE_REFUSED, JOB_QUEUED);
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -69,6 +69,8 @@
 Cell__Job *bed_job(const char *id, const char *queue, uint32_t count, uint32_t cpu_milli);
 Cell__Step *bed_add_step(Cell__Job *job, uint32_t count, uint32_t cpu_milli);
 void bed_submit(struct bed *b, Cell__Job *job);
+/* bed_offer - a job whose record is not stored yet; bed_submit() or book_withdraw() follows. */
+void bed_offer(struct bed *b, Cell__Job *job);
 /* bed_cancel - as if read from the log. */
 void bed_cancel(struct bed *b, const char *id);
 /* bed_pass - lets time go by and ticks the scheduler. */
--- a/tests/cell/test_book.c
+++ b/tests/cell/test_book.c
@@ -152,3 +152,23 @@
 	g_free(r.value);
 	g_free(prog.value);
 }
+
+/* A job that is offered becomes firm with its record, or is forgotten. */
+Test(book, offered_jobs)
+{
+	struct rec r = job_record();
+	struct book *b = book_create();
+
+	cr_assert(book_offer(b, r.key, r.value, r.size));
+	cr_assert(book_find(b, ID)->tentative);
+	cr_assert_not(book_offer(b, r.key, r.value, r.size), "it is known");
+	cr_assert(book_withdraw(b, ID));
+	cr_assert_null(book_find(b, ID));
+	cr_assert(book_offer(b, r.key, r.value, r.size));
+	cr_assert(book_apply(b, r.key, r.value, r.size));
+	cr_assert_not(book_find(b, ID)->tentative);
+	cr_assert_not(book_withdraw(b, ID), "its record was read");
+	cr_assert_not(book_offer(b, ID "/c", (const uint8_t *)"1", 1), "not a job");
+	book_destroy(b);
+	g_free(r.value);
+}
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -21,6 +21,64 @@
 	bed_destroy(b);
 }
 
+/*
+ * Pattern: a slow store, in which the job's record and the intents of its first starts each take
+ * half a second. Both are written at the same time, and neither is done without the other.
+ */
+Test(scheduler, a_job_is_planned_while_its_record_is_stored)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_offer(b, bed_job(ID_A, "urgent", 2, 400));
+	bed_pass(b, 1);
+	cr_assert_neq(b->batch, 0, "the intent does not wait");
+	bed_ack(b);
+	cr_assert_eq(b->starts, 0, "the job may never have been accepted");
+	bed_submit(b, bed_job(ID_A, "urgent", 2, 400));
+	cr_assert_eq(b->starts, 2);
+	bed_offer(b, bed_job(ID_B, "urgent", 1, 200));
+	bed_pass(b, 1);
+	bed_submit(b, bed_job(ID_B, "urgent", 1, 200));
+	cr_assert_eq(b->starts, 2, "its intent is not stored");
+	bed_ack(b);
+	cr_assert_eq(b->starts, 3);
+	bed_destroy(b);
+}
+
+Test(scheduler, a_job_that_was_not_stored_leaves_its_room)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_offer(b, bed_job(ID_A, "urgent", 2, 400));
+	bed_pass(b, 1);
+	cr_assert(book_withdraw(b->book, ID_A));
+	bed_ack(b);
+	cr_assert_eq(b->starts, 0);
+	bed_submit(b, bed_job(ID_B, "urgent", 2, 500));
+	bed_pass(b, 1);
+	bed_ack(b);
+	cr_assert_eq(b->starts, 2);
+	bed_destroy(b);
+}
+
+/* Pattern: a slow store. What comes while a batch is under way does not wait for all of it. */
+Test(scheduler, batches_overlap_in_a_slow_store)
+{
+	struct bed *b = bed_plain(1, 1000);
+
+	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
+	bed_pass(b, 1);
+	cr_assert_eq(b->batch, 1);
+	bed_submit(b, bed_job(ID_B, "urgent", 1, 100));
+	bed_pass(b, 50);
+	cr_assert_eq(b->batch, 1, "a quick store would have answered");
+	bed_pass(b, 60);
+	cr_assert_eq(b->batch, 2);
+	bed_ack(b);
+	cr_assert_eq(b->starts, 2, "the first batch stands before the second");
+	bed_destroy(b);
+}
+
 Test(scheduler, no_start_on_a_runner_that_was_not_reached)
 {
 	struct bed *b = bed_create();
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -260,6 +260,67 @@
 	end(&u);
 }
 
+/* The first of two batches is lost; the second is refused, since it does not follow. */
+Test(joblog, batches_that_overlap_are_stored_in_order)
+{
+	static const enum fake_mode modes[] = { FAKE_SILENT, FAKE_LOSES_ANSWER, FAKE_REFUSES };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		struct user u = { 0 };
+
+		begin(&u, fake_log_create());
+		pass(&u, 100);
+		lead(&u, 5);
+		joblog_write(u.jobs, 1, progress_batch(JOB_RUNNING, 1));
+		pass(&u, 20);
+		fake_mode(u.client, modes[i]);
+		joblog_write(u.jobs, 2, progress_batch(JOB_RUNNING, 2));
+		pass(&u, 20);
+		fake_mode(u.client, FAKE_WELL);
+		joblog_write(u.jobs, 3, progress_batch(JOB_RUNNING, 3));
+		pass(&u, 20);
+		pass(&u, 400);
+		cr_expect_eq(u.written, 3, "case %zu", i);
+		cr_expect_eq(u.fenced, 0, "case %zu", i);
+		cr_expect_eq(fake_count(u.log, TOPIC, JOBLOG_PROGRESS), 3, "case %zu", i);
+		end(&u);
+	}
+}
+
+/*
+ * Pattern: a slow store. Advice and intents need not wait for the job's own record, so the
+ * scheduler gets the job at once, as one that may not be told of.
+ */
+Test(joblog, jobs_are_offered_to_the_scheduler_while_they_are_stored)
+{
+	static const struct {
+		enum fake_mode mode;
+		bool stays;
+	} cases[] = { { FAKE_WELL, true }, { FAKE_REFUSES, false }, { FAKE_SILENT, false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct user u = { 0 };
+		const struct plan *p;
+
+		begin(&u, fake_log_create());
+		pass(&u, 100);
+		lead(&u, 5);
+		u.changed = 0;
+		fake_mode(u.client, cases[i].mode);
+		submit(&u, 2000);
+		p = book_find(joblog_book(u.jobs), ID);
+		cr_assert_not_null(p);
+		cr_expect(p->tentative);
+		cr_expect_eq(u.changed, 1);
+		cr_expect_eq(book_waiting(joblog_book(u.jobs), "q"), 0);
+		pass(&u, 3000);
+		p = book_find(joblog_book(u.jobs), ID);
+		cr_expect_eq(p && !p->tentative, cases[i].stays, "case %zu", i);
+		cr_expect_eq(p != NULL, cases[i].stays, "case %zu", i);
+		end(&u);
+	}
+}
+
 /*
  * A read of the progress was under way when the node became the scheduler. Applied afterwards, it
  * made the scheduler forget the runs that it had started since (rule days: LIMIT 40, TWICE 14).
