Room is made and kept for large tasks, and tickets for what room is kept for

Cause: tasks of damage-match and tracking take half of a runner or all of its accelerators. When room came, a question of 400 ms went first. A task that had failed on the only approved runner waited 4 s for another one.

Ruled out: gangs; steps of one task come without that flag, no gang waited.

Change: for a task that takes more than a third of a runner, or a gang, tasks of less urgent jobs are stopped where that loses nothing (they save their progress, and have 4 s to spare); else the first two keep the room that gets free. Tickets for these are renewed before they end. One of five processes is kept from long questions instead of one of three. The only approved runner is avoided for 0.8 s.

--- a/packages/cell/process/looks.c
+++ b/packages/cell/process/looks.c
@@ -3,7 +3,6 @@
 #include "scheduler_priv.h"
 
 #define FAULTS_MAX    2	    /* failures in a row after which a runner gets no work for a while */
-#define AVOID_MS      4000  /* a failed task goes elsewhere for that long */
 #define BAR_MIN_MS    2000  /* first pause of such a runner; doubles with each failure */
 #define HANG_AGE_MS   800   /* a task is at work by then: its usage is of the last 500 ms */
 #define HANG_IDLE_MS  500   /* without any usage, in looks that far apart */
--- /dev/null
+++ b/packages/cell/process/makeroom.c
@@ -0,0 +1,114 @@
+#include "makeroom.h"
+#include "order.h"
+
+/* A runner while members are put on it. */
+struct site {
+	struct exec *exec;
+	struct amount free; /* and what tasks that are being stopped will leave */
+	GPtrArray
+		*victims; /* of struct run, largest first; those of the first `taken` are stopped */
+	guint taken;
+};
+
+static bool may_stop(const struct makeroom *m, const struct run *r)
+{
+	const Cell__Step *spec = plan_step_of(r->plan, r->task)->spec;
+
+	if (!m->stop || r->state != RUN_ON || r->plan->job->priority <= m->priority)
+		return false;
+	if (!spec->checkpoints || spec->gang || spec->lasting)
+		return false;
+	return order_slack_ms(r->plan, m->wall_ms) >= MAKEROOM_SLACK_MS;
+}
+
+static int by_size(gconstpointer a, gconstpointer b)
+{
+	const struct run *x = *(struct run *const *)a;
+	const struct run *y = *(struct run *const *)b;
+
+	if (x->need.accel != y->need.accel)
+		return x->need.accel > y->need.accel ? -1 : 1;
+	return x->need.cpu_milli > y->need.cpu_milli ? -1 : x->need.cpu_milli < y->need.cpu_milli;
+}
+
+static void site_init(struct site *site, const struct makeroom *m, struct exec *e)
+{
+	*site = (struct site){ .exec = e, .free = exec_free(e), .victims = g_ptr_array_new() };
+	for (guint i = 0; i < e->run->len; i++) {
+		struct run *r = e->run->pdata[i];
+
+		if (r->stopping)
+			amount_add(&site->free, &r->need);
+		else if (may_stop(m, r))
+			g_ptr_array_add(site->victims, r);
+	}
+	g_ptr_array_sort(site->victims, by_size);
+}
+
+/* How many more runs have to be stopped for one more member; UINT32_MAX if that is not enough. */
+static guint victims_for(const struct site *site, const struct amount *need)
+{
+	struct amount free = site->free;
+	guint n = 0;
+
+	while (!amount_fits(need, &free)) {
+		const struct run *r;
+
+		if (site->taken + n >= site->victims->len)
+			return UINT32_MAX;
+		r = site->victims->pdata[site->taken + n++];
+		amount_add(&free, &r->need);
+	}
+	return n;
+}
+
+static void put_member(struct site *site, const struct amount *need, guint victims)
+{
+	for (; victims; victims--) {
+		const struct run *r = site->victims->pdata[site->taken++];
+
+		amount_add(&site->free, &r->need);
+	}
+	amount_sub(&site->free, need);
+}
+
+static struct site *best_site(struct site *site, guint n, const struct amount *need, guint *victims)
+{
+	struct site *best = NULL;
+
+	*victims = UINT32_MAX;
+	for (guint i = 0; i < n; i++) {
+		guint cost = victims_for(&site[i], need);
+
+		if (cost < *victims) {
+			best = &site[i];
+			*victims = cost;
+		}
+	}
+	return best;
+}
+
+bool makeroom_find(const struct makeroom *m, struct exec **out, GPtrArray *victims)
+{
+	guint n = m->exec->len;
+	g_autofree struct site *site = g_new(struct site, n + 1);
+	uint32_t members = 0;
+
+	for (guint i = 0; i < n; i++)
+		site_init(&site[i], m, m->exec->pdata[i]);
+	for (; members < m->count; members++) {
+		guint cost;
+		struct site *best = best_site(site, n, &m->need, &cost);
+
+		if (!best)
+			break;
+		put_member(best, &m->need, cost);
+		out[members] = best->exec;
+	}
+	for (guint i = 0; i < n; i++) {
+		for (guint k = 0; members == m->count && k < site[i].taken; k++)
+			g_ptr_array_add(victims, site[i].victims->pdata[k]);
+		g_ptr_array_unref(site[i].victims);
+	}
+	return members == m->count;
+}
--- /dev/null
+++ b/packages/cell/process/makeroom.h
@@ -0,0 +1,32 @@
+#ifndef CELL_MAKEROOM_H
+#define CELL_MAKEROOM_H
+
+#include "process/exec.h"
+#include "request/plan.h"
+
+/*
+ * makeroom - room for a gang by stopping tasks of less urgent jobs.
+ *
+ * A gang needs room on several runners at the same moment; where small tasks are spread over all of
+ * them it waits for seconds. Tasks that save their progress lose nothing by a stop, and those of a
+ * job with MAKEROOM_SLACK_MS to spare can go on elsewhere in time.
+ */
+#define MAKEROOM_SLACK_MS 4000 /* a stop, a restore and a wait for other room take up to 2.5 s */
+
+/* What is looked for: room for `count` members on some of the runners. */
+struct makeroom {
+	const GPtrArray *exec; /* of struct exec, that may run a member */
+	struct amount need;    /* of one member */
+	uint32_t count;
+	uint32_t priority; /* of the gang: only tasks of less urgent jobs are stopped */
+	bool stop;	   /* false: only room of tasks that are being stopped counts */
+	int64_t wall_ms;
+};
+
+/*
+ * makeroom_find - the runner of each member in out[count], and the runs to stop in victims (of
+ * struct run), as few as possible; false if there is no such room. Nothing is changed.
+ */
+bool makeroom_find(const struct makeroom *m, struct exec **out, GPtrArray *victims);
+
+#endif
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "makeroom.h"
 #include "order.h"
 #include "scheduler_priv.h"
 #include "yield.h"
@@ -7,20 +8,25 @@
 #define ASK_NAMES_MAX 100   /* runners in one question, the platform's bound */
 #define ASK_NAMES_MIN 8	    /* named even where naming costs more than deciding */
 #define ASK_LONG_US   80000 /* of a question; urgent steps take 25 ms, all others 155 or more */
-#define ASK_KEPT_PART 3	    /* one of so many helpers is kept from long questions */
+#define ASK_KEPT_PART                                                                              \
+	5 /* one of so many helpers is kept from long questions; urgent ones fill 40% of it */
 #define ASK_SHORT_US                                                                               \
 	75000 /* short questions under way for a helper: three, to hide the way there */
 #define SETTLE_MS                                                                                  \
 	100 /* a new scheduler waits for its runners: 24 ms there and back, and slow VMs */
-#define BARREN_STEPS  48 /* in a row without room; of those after them few would find any */
-#define BLOCKED_GANGS 2	 /* gangs of a pool that keep room free while they wait */
+#define BARREN_STEPS  48  /* in a row without room; of those after them few would find any */
+#define LARGE_PART    3	  /* a large task takes more than one of so many parts of a runner */
+#define BLOCKED_GANGS 2	  /* gangs of a pool that keep room free while they wait */
+#define ROOM_STEPS    6	  /* steps of a pool for which others are stopped in one pass */
+#define RENEW_MS      600 /* a question of 400 ms, and the ways, before tickets end */
 
 /* One placement pass over a pool of runners. */
 struct pass_pool {
 	const char *service;
 	GPtrArray *exec;
 	uint32_t blocked;
-	uint32_t barren; /* steps in a row for which there was no room */
+	uint32_t cleared; /* gangs for which room is being made */
+	uint32_t barren;  /* steps in a row for which there was no room */
 };
 
 struct pass {
@@ -36,6 +42,7 @@
 	const struct queue *queue; /* NULL if it is not configured any more */
 	struct amount need;
 	bool advised;
+	bool large;	/* a task takes much of a runner: room for it seldom comes by itself */
 	uint32_t yield; /* part of a runner, of 1000, to leave free */
 };
 
@@ -165,12 +172,32 @@
 	return score;
 }
 
+/*
+ * Handle + 1 of the runner on which the task had better not run, 0 for none. Where no other one is
+ * approved, waiting longer than AVOID_ONLY_MS costs more than a second failure.
+ */
+static uint32_t avoided(const struct pass *pass, const struct target *t,
+			const struct plan_task *task)
+{
+	if (task->avoid_until_ms <= pass->s->now_ms)
+		return 0;
+	if (!t->advised || task->avoid_until_ms - pass->s->now_ms > AVOID_MS - AVOID_ONLY_MS)
+		return task->avoid;
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		const struct exec *e = t->pool->exec->pdata[i];
+
+		if (e->handle + 1 != task->avoid && suits(t, e))
+			return task->avoid;
+	}
+	return 0;
+}
+
 /* The best runner for a task of the step; ticketed: only one that may be ordered at once. */
 static struct exec *choose(const struct pass *pass, const struct target *t,
 			   const struct plan_task *task, const char *rack, bool ticketed)
 {
 	int64_t valid_ms = pass->s->now_ms + ORDER_MARGIN_MS;
-	uint32_t avoid = task->avoid_until_ms > pass->s->now_ms ? task->avoid : 0;
+	uint32_t avoid = avoided(pass, t, task);
 	struct exec *best = NULL;
 	int64_t best_score = 0;
 
@@ -318,8 +345,9 @@
 		s->sums.steps_asking++;
 		return;
 	}
-	/* The verdicts on a gang's runners are worth knowing before there is room for it. */
-	if (!possible && !(first && t->step->spec->gang)) {
+	/* The verdicts on the runners are worth knowing before there is room, which has to be kept.
+	 */
+	if (!possible && !(first && (t->step->spec->gang || t->large))) {
 		s->sums.steps_without_room++;
 		t->pool->barren++;
 		return;
@@ -339,6 +367,29 @@
 	send_question(pass, t, exec, question_cost_us(t, exec->len));
 }
 
+/*
+ * Keeps tickets for a gang that room is kept for: a question takes 400 ms, in which that room would
+ * stay empty.
+ */
+static void renew_tickets(struct pass *pass, const struct target *t)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	struct scheduler *s = pass->s;
+	struct advice *a = t->step->advice;
+
+	if (!a || !a->answered || a->asking || a->retry_ms > s->now_ms)
+		return;
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		struct exec *e = t->pool->exec->pdata[i];
+
+		if (suits(t, e) && advice_verdict(a, e->handle) == VERDICT_APPROVED &&
+		    !advice_ticket(a, e->handle, s->now_ms + RENEW_MS))
+			g_ptr_array_add(exec, e);
+	}
+	if (exec->len && may_ask(s, question_cost_us(t, exec->len)))
+		send_question(pass, t, exec, question_cost_us(t, exec->len));
+}
+
 /* Sets room aside for tasks that only wait for the advisor's answer. */
 static void hope(const struct target *t, uint32_t waiting)
 {
@@ -357,13 +408,13 @@
 	}
 }
 
-/* Keeps the runners that will be free first from work of lower rank. */
-static void keep_room(const struct target *t, uint32_t waiting)
+/* Keeps the runners that will be free first from work of lower rank; false if enough is kept. */
+static bool keep_room(const struct target *t, uint32_t waiting)
 {
 	g_autoptr(GPtrArray) exec = g_ptr_array_new();
 
 	if (t->pool->blocked >= BLOCKED_GANGS)
-		return;
+		return false;
 	t->pool->blocked++;
 	for (guint i = 0; i < t->pool->exec->len; i++)
 		if (suits(t, t->pool->exec->pdata[i]))
@@ -371,6 +422,67 @@
 	g_ptr_array_sort(exec, by_free);
 	for (guint i = 0; i < exec->len && waiting; i++, waiting--)
 		amount_add(&((struct exec *)exec->pdata[i])->hoped, &t->need);
+	return true;
+}
+
+/* Runners that may be ordered to run a task of the step, with room or without. */
+static GPtrArray *approved(const struct target *t)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		struct exec *e = t->pool->exec->pdata[i];
+
+		if (suits(t, e) &&
+		    (!t->advised || advice_verdict(t->step->advice, e->handle) == VERDICT_APPROVED))
+			g_ptr_array_add(out, e);
+	}
+	return out;
+}
+
+/*
+ * Stops less urgent tasks for so many of a step that can be in time, and keeps what they leave for
+ * these.
+ */
+static bool make_room(struct pass *pass, const struct target *t, uint32_t count)
+{
+	const Cell__Step *spec = t->step->spec;
+	g_autoptr(GPtrArray) exec = approved(t);
+	g_autoptr(GPtrArray) victims = g_ptr_array_new();
+	g_autofree struct exec **out = g_new0(struct exec *, count);
+	const struct makeroom m = { .exec = exec,
+				    .need = t->need,
+				    .count = count,
+				    .priority = t->plan->job->priority,
+				    .stop = order_slack_ms(t->plan, pass->s->wall_ms) >= 0,
+				    .wall_ms = pass->s->wall_ms };
+
+	if (spec->one_rack || spec->spread_max || t->pool->cleared >= ROOM_STEPS)
+		return false;
+	if (!makeroom_find(&m, out, victims))
+		return false;
+	t->pool->cleared++;
+	for (guint i = 0; i < victims->len; i++) {
+		scheduler_tell_run(pass->s, DECISION_PREEMPTED, victims->pdata[i]);
+		scheduler_stop_run(pass->s, victims->pdata[i]);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		amount_add(&out[i]->hoped, &t->need);
+	return true;
+}
+
+/*
+ * Small tasks take each part of a runner as it gets free, so that a large one of higher rank would
+ * wait for ever.
+ */
+static void wait_for_room(struct pass *pass, const struct target *t, uint32_t waiting)
+{
+	uint32_t made = 0;
+
+	while (made < waiting && make_room(pass, t, 1))
+		made++;
+	if ((made == waiting || keep_room(t, waiting - made)) && t->advised)
+		renew_tickets(pass, t);
 }
 
 static void place_tasks(struct pass *pass, const struct target *t)
@@ -400,11 +512,14 @@
 	pass->s->sums.waiting_tasks += waiting;
 	if (waiting && !t->advised)
 		t->pool->barren++;
-	if (!waiting || !t->advised)
+	if (!waiting)
 		return;
-	ask(pass, t, possible);
-	if (t->step->advice->asking)
+	if (t->advised)
+		ask(pass, t, possible);
+	if (t->advised && t->step->advice->asking)
 		hope(t, waiting);
+	else if (!possible && t->large)
+		wait_for_room(pass, t, waiting);
 }
 
 /* Finds room for all members in rack (NULL for any); false and nothing taken if there is none. */
@@ -456,6 +571,8 @@
 {
 	const Cell__Step *spec = t->step->spec;
 	g_autofree struct exec **exec = NULL;
+	bool possible;
+	bool kept;
 
 	for (uint32_t i = 0; i < spec->count; i++)
 		if (!task_waits(pass, &t->plan->task[t->step->first_task + i]))
@@ -467,9 +584,31 @@
 	}
 	pass->s->sums.gangs_waiting++;
 	pass->s->sums.waiting_tasks += spec->count;
+	possible = find_gang_rack(pass, t, false, exec);
 	if (t->advised)
-		ask(pass, t, find_gang_rack(pass, t, false, exec));
-	keep_room(t, spec->count);
+		ask(pass, t, possible);
+	kept = (!possible && make_room(pass, t, spec->count)) || keep_room(t, spec->count);
+	if (kept && !possible && t->advised)
+		renew_tickets(pass, t);
+}
+
+/* On most runners that could run it. */
+static bool is_large(const struct target *t)
+{
+	uint32_t large = 0;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < t->pool->exec->len; i++) {
+		const struct exec *e = t->pool->exec->pdata[i];
+
+		if (!amount_fits(&t->need, &e->room))
+			continue;
+		n++;
+		large += t->need.cpu_milli * LARGE_PART > e->room.cpu_milli ||
+			 t->need.mem_bytes * LARGE_PART > e->room.mem_bytes ||
+			 t->need.accel * LARGE_PART > e->room.accel;
+	}
+	return large * 2 > n;
 }
 
 static void place_step(struct pass *pass, struct plan *p, struct plan_step *step)
@@ -481,6 +620,7 @@
 	if (!t.pool || t.pool->barren >= BARREN_STEPS)
 		return;
 	t.need = scheduler_need(step->spec);
+	t.large = is_large(&t);
 	t.advised = q ? q->advised : p->job->advised;
 	t.yield = yield_milli(p, pass->s->queues, pass->s->wall_ms);
 	if (step->spec->gang)
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -114,6 +114,7 @@
 	DECISION_FAILED,	/* a run ended by a fault */
 	DECISION_HANGS,		/* a run stands still and is stopped */
 	DECISION_LOST,		/* a run ended without an end of its own */
+	DECISION_PREEMPTED,	/* a run is stopped for more urgent work */
 	DECISION_RUNNER_SILENT, /* a runner does not answer looks */
 	DECISION_RUNNER_BACK,
 	DECISION_RUNNER_BARRED, /* it fails what it starts */
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -12,6 +12,8 @@
 
 /* A ticket or lease has to be valid that much longer than now: intent, way and order take time. */
 #define ORDER_MARGIN_MS 250
+#define AVOID_MS	4000 /* a failed task goes elsewhere for that long */
+#define AVOID_ONLY_MS	800  /* or waits that long, if there is no elsewhere */
 
 struct scheduler {
 	struct scheduler_conf conf;
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -42,7 +42,8 @@
 					     [DECISION_UNANSWERED] = "start not answered, stopped",
 					     [DECISION_FAILED] = "run failed",
 					     [DECISION_HANGS] = "run stands still, stopped",
-					     [DECISION_LOST] = "run lost" };
+					     [DECISION_LOST] = "run lost",
+					     [DECISION_PREEMPTED] = "stopped for a gang" };
 	char task[TASK_NAME_BYTES];
 
 	plan_task_name(d->plan, d->task, task);
@@ -71,7 +72,7 @@
 		[DECISION_FAILED] = "run_failed",	[DECISION_HANGS] = "run_hangs",
 		[DECISION_LOST] = "run_lost",		[DECISION_RUNNER_SILENT] = "runner_silent",
 		[DECISION_RUNNER_BACK] = "runner_back", [DECISION_RUNNER_BARRED] = "runner_barred",
-		[DECISION_RUNNER_BORN] = "runner_born"
+		[DECISION_RUNNER_BORN] = "runner_born", [DECISION_PREEMPTED] = "run_preempted"
 	};
 
 	metrics_counter(m, "kw_decisions_total", "Decisions of the scheduler by kind.", "kind",
@@ -96,7 +97,7 @@
 	count(d, metrics);
 	if (d->kind <= DECISION_FIRST_START)
 		log_job(d, term);
-	else if (d->kind <= DECISION_LOST)
+	else if (d->kind <= DECISION_PREEMPTED)
 		log_run(d);
 	else
 		log_runner(d);
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -80,9 +80,45 @@
 	bed_pass(b, 1);
 	cr_assert_eq(question(b)->n, 6);
 	bed_advise(b, "r2r3r4", 2000);
-	for (int i = 0; i < 30; i++)
+	for (int i = 0; i < 13; i++)
+		bed_pass(b, 100);
+	cr_assert_eq(b->asks, 2, "nothing is asked while the tickets last");
+	for (int i = 0; i < 17; i++)
 		bed_pass(b, 100);
-	cr_assert_eq(b->asks, 2, "nothing is asked while no room could be used");
+	cr_assert_eq(b->asks, 3, "room is kept for it, and is not to wait for tickets");
+	cr_assert_eq(question(b)->n, 3, "only the approved ones are named");
+	bed_destroy(b);
+}
+
+/* Pattern: many gangs wait. Tickets are kept for those only that room is kept for. */
+Test(advice, gangs_without_kept_room_renew_no_tickets)
+{
+	struct bed *b = advised_bed(2);
+	Cell__Job *filler = bed_job(ID_A, "quick", 2, 900);
+	uint32_t asks;
+
+	bed_submit(b, filler);
+	bed_pass(b, 1);
+	bed_advise(b, "", 2000);
+	bed_pass(b, 1);
+	bed_ack(b);
+	bed_accept_all(b);
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("00000000000000d%d", i);
+		Cell__Job *gang = bed_job(id, "slow", 2, 900);
+
+		gang->step[0]->gang = true;
+		bed_submit(b, gang);
+	}
+	for (int i = 0; i < 10; i++) {
+		bed_pass(b, 10);
+		while (bed_advise(b, "", 2000))
+			;
+	}
+	asks = b->asks;
+	cr_assert_eq(asks, 7, "each was asked about once");
+	bed_pass(b, 1500);
+	cr_assert_eq(b->asks, asks + 2, "two of them are the first to get room");
 	bed_destroy(b);
 }
 
@@ -142,7 +178,7 @@
 	static const struct {
 		uint32_t helpers;
 		uint32_t longs;
-	} cases[] = { { 1, 1 }, { 2, 1 }, { 4, 3 }, { 6, 4 }, { 8, 6 } };
+	} cases[] = { { 1, 1 }, { 2, 1 }, { 4, 3 }, { 6, 5 }, { 8, 7 }, { 10, 8 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct bed *b = advised_bed(1);
