--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -633,7 +633,7 @@
 	bed_submit(b, large);
 	for (int i = 0; i < 3; i++)
 		bed_pass(b, 1);
-	cr_assert_eq(b->stop->len, 2, "as few as make room, and only once);
+	cr_assert_eq(b->stop->len, 2, "as few as make room, and only once");
 	bed_destroy(b);
 }
 
