The first batch of a term is waited for before the next is sent

Cause: a store takes any sequence number as the first of a producer's new epoch. With appends that overlap, the first batch of a new scheduler was lost and the second stored in its place, and its answer was taken for both.

Change: until a batch of the term is stored, one is under way at a time.

The new test fails without it.

--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -82,6 +82,7 @@
 /* The sequence numbers prove that those before it are stored too. */
 static void batch_stored(struct joblog *j, uint64_t no)
 {
+	j->chained = true;
 	while (j->batch->len && ((struct batch *)j->batch->pdata[0])->no <= no)
 		g_ptr_array_remove_index(j->batch, 0);
 	j->ops->written(j->ctx, no);
@@ -125,6 +126,15 @@
 			     joblog_append_timeout(j), on_batch_appended, call);
 }
 
+/*
+ * The store takes the first batch of a term with any number, so that it would take the second
+ * instead of one that was lost.
+ */
+static bool may_send(const struct joblog *j, const struct batch *b)
+{
+	return !b->sent && (j->chained || b == j->batch->pdata[0]);
+}
+
 /* Before the records of the batch: a job that was dropped may be known again by now. */
 static void add_drops(struct joblog *j, GPtrArray *records)
 {
@@ -146,7 +156,8 @@
 	b->records = records;
 	add_drops(j, records);
 	g_ptr_array_add(j->batch, b);
-	send_batch(j, b);
+	if (may_send(j, b))
+		send_batch(j, b);
 }
 
 void joblog_withdraw(struct joblog *j, const char *id)
@@ -220,6 +231,7 @@
 	g_ptr_array_set_size(j->batch, 0);
 	j->term = term;
 	j->seq = 1;
+	j->chained = false;
 	j->fencing = true;
 	j->lead_fn = fn;
 	j->lead_ctx = ctx;
@@ -245,7 +257,7 @@
 	for (guint i = 0; i < j->batch->len; i++) {
 		struct batch *b = j->batch->pdata[i];
 
-		if (!b->sent && b->due_ms <= now)
+		if (may_send(j, b) && b->due_ms <= now)
 			send_batch(j, b);
 	}
 }
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -60,6 +60,7 @@
 	int64_t append_due_ms;
 	/* Progress. */
 	GPtrArray *batch; /* of struct batch, oldest first */
+	bool chained;	  /* a batch of this term is stored: others have to follow it */
 	int64_t fence_due_ms;
 	GPtrArray *drops; /* keys of progress to drop with the next batch */
 };
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -287,6 +287,32 @@
 	}
 }
 
+/*
+ * Pattern: a new scheduler while the store loses answers (our own day odd-2: TWICE). Its first
+ * batch was lost and the second stored in its place, which was taken for both being stored: ends
+ * that were acknowledged to runners were known to nobody.
+ */
+Test(joblog, the_first_batch_of_a_term_is_waited_for)
+{
+	struct user u = { 0 };
+
+	begin(&u, fake_log_create());
+	pass(&u, 100);
+	lead(&u, 5);
+	fake_mode(u.client, FAKE_SILENT);
+	joblog_write(u.jobs, 1, progress_batch(JOB_RUNNING, 1));
+	fake_serve(u.log);
+	fake_mode(u.client, FAKE_WELL);
+	joblog_write(u.jobs, 2, progress_batch(JOB_RUNNING, 2));
+	fake_serve(u.log);
+	cr_assert_eq(u.written, 0);
+	cr_assert_eq(fake_count(u.log, TOPIC, JOBLOG_PROGRESS), 0);
+	pass(&u, 400);
+	cr_assert_eq(u.written, 2);
+	cr_assert_eq(fake_count(u.log, TOPIC, JOBLOG_PROGRESS), 2);
+	end(&u);
+}
+
 /*
  * Pattern: a slow store. Advice and intents need not wait for the job's own record, so the
  * scheduler gets the job at once, as one that may not be told of.
