A scheduler that stops names the youngest process as its successor

Cause: in a rolling restart the successor was any linked node, which was often restarted next, so that the scheduler moved with each step of the roll.

--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -236,19 +236,32 @@
 	return l->peer->len;
 }
 
+/* When the process of that name (NODE/START) began; 0 if the name doesn't tell. */
+static uint64_t begun_of(const char *name)
+{
+	const char *slash = strrchr(name, '/');
+
+	return slash ? g_ascii_strtoull(slash + 1, NULL, 10) : 0;
+}
+
+static bool succeeds_better(const struct peer *p, const struct peer *than)
+{
+	if (!than || p->weak != than->weak)
+		return !than || than->weak;
+	return begun_of(p->name) > begun_of(than->name);
+}
+
 const char *links_successor(const struct links *l)
 {
-	const char *name = "";
+	const struct peer *best = NULL;
 
 	for (guint i = 0; i < l->peer->len; i++) {
 		const struct peer *p = l->peer->pdata[i];
 
-		if (p->name && !p->weak)
-			return p->name;
-		if (p->name)
-			name = p->name;
+		if (p->name && !is_silent(p) && succeeds_better(p, best))
+			best = p;
 	}
-	return name;
+	return best ? best->name : "";
 }
 
 bool links_give(struct peer *p, const Kw__Envelope *e)
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -88,7 +88,7 @@
 uint32_t links_count(const struct links *l);
 /*
  * links_successor - name of a linked node that may be the scheduler next, "" for none; valid until
- * the loop runs.
+ * the loop runs. Where nodes are restarted in turn, the one that began last stays for longest.
  */
 const char *links_successor(const struct links *l);
 /* links_give - false if the peer can't take it. */
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -336,7 +336,7 @@
 static const struct link_conf mute_conf = { .frame_max_bytes = 65536, .queue_max_bytes = 65536 };
 
 /* A node that has linked to the scheduler and says nothing more. */
-static struct link *mute_node(uint16_t port)
+static struct link *mute_node(uint16_t port, const char *name, bool weak)
 {
 	g_autoptr(GSocketClient) client = g_socket_client_new();
 	g_autoptr(GSocketConnection) conn =
@@ -347,7 +347,8 @@
 
 	cr_assert_not_null(conn);
 	l = link_create(conn, &mute_conf, &mute_ops, NULL);
-	hello.node = "mute";
+	hello.node = (char *)name;
+	hello.weak = weak;
 	hello.dc = "dc";
 	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
 	e.link_hello = &hello;
@@ -355,6 +356,44 @@
 	return l;
 }
 
+struct successor_case {
+	const char *what;
+	const char *name[3];
+	bool weak[3];
+	const char *best;
+};
+
+/* Pattern: VMs are restarted in turn. One that was restarted last stays for longest. */
+Test(links, successor)
+{
+	static const struct successor_case cases[] = {
+		{ "the youngest", { "a/100", "b/300", "c/200" }, { false }, "b/300" },
+		{ "not a weak one", { "a/100", "b/300", "c/200" }, { false, true }, "c/200" },
+		{ "a weak one if all are", { "a/1", "b/3", "c/2" }, { true, true, true }, "b/3" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct end a = { 0 };
+		struct link *mute[3];
+		struct status st = STATUS_INIT;
+		uint16_t port = (uint16_t)(PORT + 11 + i);
+
+		end_open(&a, "a");
+		cr_assert(links_listen(a.links, "127.0.0.1", port, &st), "%s", st.message);
+		for (int k = 0; k < 3; k++)
+			mute[k] = mute_node(port, cases[i].name[k], cases[i].weak[k]);
+		for (int k = 0;
+		     k < ROUNDS_MAX && !g_str_equal(links_successor(a.links), cases[i].best); k++) {
+			g_main_context_iteration(NULL, FALSE);
+			g_usleep(100);
+		}
+		cr_expect_str_eq(links_successor(a.links), cases[i].best, "%s", cases[i].what);
+		for (int k = 0; k < 3; k++)
+			link_destroy(mute[k]);
+		end_close(&a);
+	}
+}
+
 /* Pattern: a node is cut off. Orders and questions to it would wait until TCP gives up. */
 Test(links, nodes_that_fall_silent_get_no_work)
 {
@@ -366,7 +405,7 @@
 	fake_now_ms = 1000000;
 	end_open(&a, "a");
 	cr_assert(links_listen(a.links, "127.0.0.1", PORT + 10, &st), "%s", st.message);
-	mute = mute_node(PORT + 10);
+	mute = mute_node(PORT + 10, "mute", false);
 	while (!*links_successor(a.links))
 		g_main_context_iteration(NULL, TRUE);
 	cr_assert(links_ask_advice(a.links, 1, "s", names, 1, 1000, 5000));
