--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -83,7 +83,7 @@
 static int64_t write_due_ms(const struct scheduler *s)
 {
 	if (s->writing == 0)
-		return s->now_ms;
+		return s->batch_sent_ms + s->conf.write_every_ms;
 	if (s->writing >= BATCHES_MAX)
 		return INT64_MAX;
 	return s->batch_sent_ms + MAX(s->write_ms / BATCHES_MAX, BATCH_OVERLAP_MS);
--- a/tests/cell/bed.c
+++ b/tests/cell/bed.c
@@ -192,6 +192,7 @@
 					     .lease_cap_ms = 10000,
 					     .stop_ms = 900,
 					     .gang_ms = 3000,
+					     .write_every_ms = b->write_every_ms,
 					     .status_keep_ms = 120000,
 					     .inherited_ms = b->inherited_ms };
 
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -43,9 +43,10 @@
 	struct scheduler *sched;
 	int64_t now_ms;
 	int64_t wall_ms;
-	uint32_t inherited_ms; /* of the schedulers that begin; 15 s at first */
-	int64_t born_ms;       /* life of the runners that answer looks */
-	GArray *start;	       /* orders that were not answered yet, oldest first */
+	uint32_t write_every_ms; /* of the schedulers that begin; 0 at first */
+	uint32_t inherited_ms;	 /* of the schedulers that begin; 15 s at first */
+	int64_t born_ms;	 /* life of the runners that answer looks */
+	GArray *start;		 /* orders that were not answered yet, oldest first */
 	GArray *stop;
 	GArray *look;
 	GArray *ask;
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -61,6 +61,28 @@
 	bed_destroy(b);
 }
 
+/* Pattern: steady load. Each batch is a call to the store, and calls are priced. */
+Test(scheduler, batches_are_a_while_apart)
+{
+	struct bed *b = bed_create();
+
+	b->write_every_ms = 25;
+	bed_queue(b, "urgent", "desk", 0, 3, 0);
+	bed_begin(b);
+	bed_runner(b, "r0", "desk", "rack0", 1000, 0);
+	bed_settle(b);
+	bed_submit(b, bed_job(ID_A, "urgent", 1, 100));
+	bed_pass(b, 1);
+	cr_assert_eq(b->batch, 1);
+	bed_ack(b);
+	bed_submit(b, bed_job(ID_B, "urgent", 1, 100));
+	bed_pass(b, 10);
+	cr_assert_eq(b->batch, 0);
+	bed_pass(b, 15);
+	cr_assert_eq(b->batch, 2);
+	bed_destroy(b);
+}
+
 /* Pattern: a slow store. What comes while a batch is under way does not wait for all of it. */
 Test(scheduler, batches_overlap_in_a_slow_store)
 {
