A placement pass takes a third of the processor

Change: runners that could run a step are collected once; those without room are ruled out first; whether anything could start is asked once a step; room for tasks that wait for advice is set aside in one go; advice is found by index. Room is tried to be made for at most 12 steps in a pass.

--- a/packages/cell/process/advice.c
+++ b/packages/cell/process/advice.c
@@ -8,16 +8,14 @@
 	int64_t valid_until_ms;
 };
 
+/* Handles are small numbers, and looked up for each runner in each pass. */
 struct advice_rows {
-	GHashTable *by_handle;
+	GArray *by_handle; /* of struct row */
 };
 
-static void row_free(gpointer data)
+static void row_clear(gpointer data)
 {
-	struct row *row = data;
-
-	g_free(row->ticket);
-	g_free(row);
+	g_free(((struct row *)data)->ticket);
 }
 
 struct advice *advice_create(void)
@@ -25,7 +23,8 @@
 	struct advice *a = g_new0(struct advice, 1);
 
 	a->rows = g_new0(struct advice_rows, 1);
-	a->rows->by_handle = g_hash_table_new_full(NULL, NULL, NULL, row_free);
+	a->rows->by_handle = g_array_new(FALSE, TRUE, sizeof(struct row));
+	g_array_set_clear_func(a->rows->by_handle, row_clear);
 	return a;
 }
 
@@ -33,25 +32,23 @@
 {
 	if (!a)
 		return;
-	g_hash_table_unref(a->rows->by_handle);
+	g_array_unref(a->rows->by_handle);
 	g_free(a->rows);
 	g_free(a);
 }
 
 static struct row *find(const struct advice *a, uint32_t handle)
 {
-	return g_hash_table_lookup(a->rows->by_handle, GUINT_TO_POINTER(handle));
+	GArray *rows = a->rows->by_handle;
+
+	return handle < rows->len ? &g_array_index(rows, struct row, handle) : NULL;
 }
 
 static struct row *get(struct advice *a, uint32_t handle)
 {
-	struct row *row = find(a, handle);
-
-	if (row)
-		return row;
-	row = g_new0(struct row, 1);
-	g_hash_table_insert(a->rows->by_handle, GUINT_TO_POINTER(handle), row);
-	return row;
+	if (handle >= a->rows->by_handle->len)
+		g_array_set_size(a->rows->by_handle, handle + 1);
+	return find(a, handle);
 }
 
 enum verdict advice_verdict(const struct advice *a, uint32_t handle)
--- a/packages/cell/process/exec.c
+++ b/packages/cell/process/exec.c
@@ -1,11 +1,5 @@
 #include "exec.h"
 
-bool amount_fits(const struct amount *need, const struct amount *free)
-{
-	return need->cpu_milli <= free->cpu_milli && need->mem_bytes <= free->mem_bytes &&
-	       need->accel <= free->accel;
-}
-
 void amount_add(struct amount *to, const struct amount *what)
 {
 	to->cpu_milli += what->cpu_milli;
@@ -118,15 +112,6 @@
 	return now_ms > e->granted_until_ms;
 }
 
-struct amount exec_free(const struct exec *e)
-{
-	struct amount free = e->room;
-
-	amount_sub(&free, &e->used);
-	amount_sub(&free, &e->hoped);
-	return free;
-}
-
 bool exec_has_label(const struct exec *e, const char *label)
 {
 	for (int i = 0; i < EXEC_LABELS_MAX; i++)
--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -122,8 +122,6 @@
 int64_t exec_lease_most_ms(int64_t ms);
 /* exec_lapsed - every lease that was granted there has surely ended. */
 bool exec_lapsed(const struct exec *e, int64_t now_ms);
-/* exec_free - room left for another task, less what is set aside. */
-struct amount exec_free(const struct exec *e);
 bool exec_has_label(const struct exec *e, const char *label);
 void exec_take(struct exec *e, struct run *r);
 /* exec_release - the run is over and freed. */
@@ -131,8 +129,24 @@
 /* exec_steal - the run goes on elsewhere. */
 void exec_steal(struct exec *e, struct run *r);
 
-bool amount_fits(const struct amount *need, const struct amount *free);
 void amount_add(struct amount *to, const struct amount *what);
 void amount_sub(struct amount *from, const struct amount *what);
 
+/* Inline: asked for each runner and step in each pass. */
+static inline bool amount_fits(const struct amount *need, const struct amount *free)
+{
+	return need->cpu_milli <= free->cpu_milli && need->mem_bytes <= free->mem_bytes &&
+	       need->accel <= free->accel;
+}
+
+/* exec_free - room left for another task, less what is set aside. */
+static inline struct amount exec_free(const struct exec *e)
+{
+	return (struct amount){
+		.cpu_milli = e->room.cpu_milli - e->used.cpu_milli - e->hoped.cpu_milli,
+		.mem_bytes = e->room.mem_bytes - e->used.mem_bytes - e->hoped.mem_bytes,
+		.accel = e->room.accel - e->used.accel - e->hoped.accel,
+	};
+}
+
 #endif
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -14,17 +14,21 @@
 	75000 /* short questions under way for a helper: three, to hide the way there */
 #define SETTLE_MS                                                                                  \
 	100 /* a new scheduler waits for its runners: 24 ms there and back, and slow VMs */
-#define BARREN_STEPS  48  /* in a row without room; of those after them few would find any */
-#define LARGE_PART    3	  /* a large task takes more than one of so many parts of a runner */
-#define BLOCKED_GANGS 2	  /* gangs of a pool that keep room free while they wait */
-#define ROOM_STEPS    6	  /* steps of a pool for which others are stopped in one pass */
-#define RENEW_MS      600 /* a question of 400 ms, and the ways, before tickets end */
+#define BARREN_STEPS  48 /* in a row without room; of those after them few would find any */
+#define LARGE_PART    3	 /* a large task takes more than one of so many parts of a runner */
+#define BLOCKED_GANGS 2	 /* gangs of a pool that keep room free while they wait */
+#define ROOM_STEPS    6	 /* steps of a pool for which others are stopped in one pass */
+#define ROOM_TRIES                                                                                 \
+	12	     /* to make room in one pass over a pool; each looks at all that runs there    \
+		      */
+#define RENEW_MS 600 /* a question of 400 ms, and the ways, before tickets end */
 
 /* One placement pass over a pool of runners. */
 struct pass_pool {
 	const char *service;
 	GPtrArray *exec;
 	uint32_t blocked;
+	uint32_t tries;	  /* to make room */
 	uint32_t cleared; /* gangs for which room is being made */
 	uint32_t barren;  /* steps in a row for which there was no room */
 };
@@ -37,6 +41,7 @@
 /* A step whose tasks are being placed. */
 struct target {
 	struct pass_pool *pool;
+	GPtrArray *exec; /* of the pool, those that could ever run a task of the step */
 	struct plan *plan;
 	struct plan_step *step;
 	const struct queue *queue; /* NULL if it is not configured any more */
@@ -152,10 +157,10 @@
 
 static bool has_room(const struct target *t, const struct exec *e)
 {
-	if (disturbs(t, e))
-		return false;
 	if (!yield_fits(e, &t->need, t->yield))
 		return false;
+	if (disturbs(t, e))
+		return false;
 	return !t->step->spec->spread_max || on_runner(e, t) < t->step->spec->spread_max;
 }
 
@@ -183,12 +188,9 @@
 		return 0;
 	if (!t->advised || task->avoid_until_ms - pass->s->now_ms > AVOID_MS - AVOID_ONLY_MS)
 		return task->avoid;
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		const struct exec *e = t->pool->exec->pdata[i];
-
-		if (e->handle + 1 != task->avoid && suits(t, e))
+	for (guint i = 0; i < t->exec->len; i++)
+		if (((const struct exec *)t->exec->pdata[i])->handle + 1 != task->avoid)
 			return task->avoid;
-	}
 	return 0;
 }
 
@@ -201,13 +203,14 @@
 	struct exec *best = NULL;
 	int64_t best_score = 0;
 
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
 		int64_t score;
 
-		if (e->handle + 1 == avoid || (rack && g_strcmp0(e->rack, rack) != 0))
+		/* In a full pool most runners are ruled out by their room. */
+		if (!has_room(t, e) || e->handle + 1 == avoid)
 			continue;
-		if (!suits(t, e) || !has_room(t, e))
+		if (rack && g_strcmp0(e->rack, rack) != 0)
 			continue;
 		if (ticketed && t->advised && !advice_ticket(t->step->advice, e->handle, valid_ms))
 			continue;
@@ -252,10 +255,10 @@
 {
 	g_autoptr(GPtrArray) found = g_ptr_array_new();
 
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
 
-		if (suits(t, e) && (!room || has_room(t, e)) &&
+		if ((!room || has_room(t, e)) &&
 		    advice_verdict(t->step->advice, e->handle) == verdict)
 			g_ptr_array_add(found, e);
 	}
@@ -379,10 +382,10 @@
 
 	if (!a || !a->answered || a->asking || a->retry_ms > s->now_ms)
 		return;
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
 
-		if (suits(t, e) && advice_verdict(a, e->handle) == VERDICT_APPROVED &&
+		if (advice_verdict(a, e->handle) == VERDICT_APPROVED &&
 		    !advice_ticket(a, e->handle, s->now_ms + RENEW_MS))
 			g_ptr_array_add(exec, e);
 	}
@@ -390,21 +393,34 @@
 		send_question(pass, t, exec, question_cost_us(t, exec->len));
 }
 
-/* Sets room aside for tasks that only wait for the advisor's answer. */
+/* Sets room aside for tasks that only wait for the advisor's answer, tightest fit first. */
 static void hope(const struct target *t, uint32_t waiting)
 {
-	for (; waiting; waiting--) {
-		struct exec *best = NULL;
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	g_autofree int64_t *score = g_new(int64_t, t->exec->len + 1);
 
-		for (guint i = 0; i < t->pool->exec->len; i++) {
-			struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
 
-			if (suits(t, e) && has_room(t, e) && (!best || rate(t, e) < rate(t, best)))
-				best = e;
+		if (!has_room(t, e))
+			continue;
+		score[exec->len] = rate(t, e);
+		g_ptr_array_add(exec, e);
+	}
+	while (waiting && exec->len) {
+		guint best = 0;
+		struct exec *e;
+
+		for (guint i = 1; i < exec->len; i++)
+			if (score[i] < score[best])
+				best = i;
+		e = exec->pdata[best];
+		while (waiting && has_room(t, e)) {
+			amount_add(&e->hoped, &t->need);
+			waiting--;
 		}
-		if (!best)
-			return;
-		amount_add(&best->hoped, &t->need);
+		score[best] = score[exec->len - 1];
+		g_ptr_array_remove_index_fast(exec, best);
 	}
 }
 
@@ -416,9 +432,8 @@
 	if (t->pool->blocked >= BLOCKED_GANGS)
 		return false;
 	t->pool->blocked++;
-	for (guint i = 0; i < t->pool->exec->len; i++)
-		if (suits(t, t->pool->exec->pdata[i]))
-			g_ptr_array_add(exec, t->pool->exec->pdata[i]);
+	for (guint i = 0; i < t->exec->len; i++)
+		g_ptr_array_add(exec, t->exec->pdata[i]);
 	g_ptr_array_sort(exec, by_free);
 	for (guint i = 0; i < exec->len && waiting; i++, waiting--)
 		amount_add(&((struct exec *)exec->pdata[i])->hoped, &t->need);
@@ -430,11 +445,10 @@
 {
 	GPtrArray *out = g_ptr_array_new();
 
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
 
-		if (suits(t, e) &&
-		    (!t->advised || advice_verdict(t->step->advice, e->handle) == VERDICT_APPROVED))
+		if (!t->advised || advice_verdict(t->step->advice, e->handle) == VERDICT_APPROVED)
 			g_ptr_array_add(out, e);
 	}
 	return out;
@@ -447,18 +461,20 @@
 static bool make_room(struct pass *pass, const struct target *t, uint32_t count)
 {
 	const Cell__Step *spec = t->step->spec;
-	g_autoptr(GPtrArray) exec = approved(t);
 	g_autoptr(GPtrArray) victims = g_ptr_array_new();
 	g_autofree struct exec **out = g_new0(struct exec *, count);
-	const struct makeroom m = { .exec = exec,
-				    .need = t->need,
-				    .count = count,
-				    .priority = t->plan->job->priority,
-				    .stop = order_slack_ms(t->plan, pass->s->wall_ms) >= 0,
-				    .wall_ms = pass->s->wall_ms };
+	g_autoptr(GPtrArray) exec = NULL;
+	struct makeroom m = { .need = t->need, .count = count };
 
 	if (spec->one_rack || spec->spread_max || t->pool->cleared >= ROOM_STEPS)
 		return false;
+	if (t->pool->tries++ >= ROOM_TRIES)
+		return false;
+	exec = approved(t);
+	m.exec = exec;
+	m.priority = t->plan->job->priority;
+	m.stop = order_slack_ms(t->plan, pass->s->wall_ms) >= 0;
+	m.wall_ms = pass->s->wall_ms;
 	if (!makeroom_find(&m, out, victims))
 		return false;
 	t->pool->cleared++;
@@ -490,6 +506,7 @@
 	const Cell__Step *spec = t->step->spec;
 	uint32_t waiting = 0;
 	bool possible = false;
+	bool first = true; /* what holds for one that is not picky holds for all */
 	bool full = false;
 
 	for (uint32_t i = 0; i < spec->count; i++) {
@@ -507,7 +524,9 @@
 		}
 		waiting++;
 		full = full || !picky;
-		possible = possible || (t->advised && choose(pass, t, task, NULL, false));
+		if (t->advised && !possible && (first || picky))
+			possible = choose(pass, t, task, NULL, false) != NULL;
+		first = false;
 	}
 	pass->s->sums.waiting_tasks += waiting;
 	if (waiting && !t->advised)
@@ -544,8 +563,8 @@
 {
 	if (!t->step->spec->one_rack)
 		return find_gang(pass, t, NULL, ticketed, out);
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		const struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		const struct exec *e = t->exec->pdata[i];
 
 		if (e->rack && find_gang(pass, t, e->rack, ticketed, out))
 			return true;
@@ -598,11 +617,9 @@
 	uint32_t large = 0;
 	uint32_t n = 0;
 
-	for (guint i = 0; i < t->pool->exec->len; i++) {
-		const struct exec *e = t->pool->exec->pdata[i];
+	for (guint i = 0; i < t->exec->len; i++) {
+		const struct exec *e = t->exec->pdata[i];
 
-		if (!amount_fits(&t->need, &e->room))
-			continue;
 		n++;
 		large += t->need.cpu_milli * LARGE_PART > e->room.cpu_milli ||
 			 t->need.mem_bytes * LARGE_PART > e->room.mem_bytes ||
@@ -615,14 +632,19 @@
 {
 	const struct queue *q = queues_find(pass->s->queues, p->job->queue);
 	struct target t = { .plan = p, .step = step, .queue = q };
+	g_autoptr(GPtrArray) exec = NULL;
 
 	t.pool = g_hash_table_lookup(pass->pool, q ? q->service : p->job->service);
 	if (!t.pool || t.pool->barren >= BARREN_STEPS)
 		return;
 	t.need = scheduler_need(step->spec);
-	t.large = is_large(&t);
+	t.exec = exec = g_ptr_array_new();
 	t.advised = q ? q->advised : p->job->advised;
 	t.yield = yield_milli(p, pass->s->queues, pass->s->wall_ms);
+	for (guint i = 0; i < t.pool->exec->len; i++)
+		if (suits(&t, t.pool->exec->pdata[i]))
+			g_ptr_array_add(exec, t.pool->exec->pdata[i]);
+	t.large = is_large(&t);
 	if (step->spec->gang)
 		place_gang(pass, &t);
 	else
