--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -1,7 +1,7 @@
 #include "scheduler_priv.h"
 
-#define BATCHES_MAX                                                                                \
-	2 /* under way: a partition of a slow store takes 180 ms for each, one after the other */
+/* A partition of a slow store takes 180 ms for each append, one after the other. */
+#define BATCHES_MAX	 2   /* under way */
 #define BATCH_OVERLAP_MS 100 /* a quick store answers sooner, and one batch at a time is enough */
 #define WRITE_WEIGHT	 4   /* of the time that writes took so far, to the newest */
 
--- /dev/null
+++ b/packages/cell/process/question.c
@@ -0,0 +1,147 @@
+#include "question.h"
+
+#define ASK_NAMES_MAX 100   /* runners in one question, the platform's bound */
+#define ASK_NAMES_MIN 8	    /* named even where naming costs more than deciding */
+#define ASK_LONG_US   80000 /* of a question; urgent steps take 25 ms, all others 155 or more */
+#define ASK_KEPT_PART 5	    /* of the helpers, for short questions, which fill 40% of one */
+#define ASK_SHORT_US  75000 /* three short questions for a helper: they hide the way there */
+#define RENEW_MS      600   /* before tickets end: a question takes 400 ms, and its way */
+
+/* Runners to name: those with room or, the first time, all that suit, as far as naming is cheap. */
+static void add_candidates(const struct target *t, GPtrArray *out, enum verdict verdict, bool room,
+			   uint32_t max)
+{
+	g_autoptr(GPtrArray) found = g_ptr_array_new();
+
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
+
+		if ((!room || target_has_room(t, e)) &&
+		    advice_verdict(t->step->advice, e->handle) == verdict)
+			g_ptr_array_add(found, e);
+	}
+	g_ptr_array_sort(found, target_by_free);
+	for (guint i = 0; i < found->len && out->len < max; i++)
+		g_ptr_array_add(out, found->pdata[i]);
+}
+
+static uint64_t question_cost_us(const struct target *t, uint32_t names)
+{
+	return t->queue ? t->queue->decide_us + (uint64_t)t->queue->interval_us * names : 0;
+}
+
+/*
+ * The advisor answers each helper's questions one after the other. A long one takes twenty times as
+ * long as that of an urgent step, so each helper gets one at a time and some get none.
+ */
+static bool may_ask(const struct scheduler *s, uint64_t cost_us)
+{
+	uint32_t helpers = MAX(s->helpers, 1);
+	uint32_t kept = helpers > 1 ? MAX(helpers / ASK_KEPT_PART, 1) : 0;
+
+	if (cost_us > ASK_LONG_US)
+		return s->asking_long < helpers - kept;
+	return s->asking_short_us <
+	       (uint64_t)ASK_SHORT_US * MAX(helpers - MIN(s->asking_long, helpers), 1);
+}
+
+void question_begins(struct scheduler *s, struct advice *a, uint64_t cost_us)
+{
+	a->asking = true;
+	a->cost_us = cost_us;
+	if (cost_us > ASK_LONG_US)
+		s->asking_long++;
+	else
+		s->asking_short_us += cost_us;
+}
+
+void question_ends(struct scheduler *s, struct advice *a)
+{
+	if (!a->asking)
+		return;
+	a->asking = false;
+	if (a->cost_us > ASK_LONG_US)
+		s->asking_long--;
+	else
+		s->asking_short_us -= a->cost_us;
+}
+
+static void send_question(struct pass *pass, const struct target *t, const GPtrArray *exec,
+			  uint64_t cost_us)
+{
+	struct scheduler *s = pass->s;
+	g_autofree const char **names = g_new(const char *, exec->len);
+	char step[TASK_NAME_BYTES];
+
+	for (guint i = 0; i < exec->len; i++)
+		names[i] = ((const struct exec *)exec->pdata[i])->id;
+	plan_step_name(t->plan, t->step, step);
+	t->pool->barren = 0;
+	question_begins(s, t->step->advice, cost_us);
+	s->sums.asks++;
+	s->ops->ask(s->ctx, step, names, exec->len, cost_us);
+}
+
+/* As many names as take half of the time that the decision takes by itself. */
+static uint32_t names_max(const struct target *t)
+{
+	if (!t->queue || !t->queue->interval_us)
+		return ASK_NAMES_MAX;
+	return CLAMP(t->queue->decide_us / t->queue->interval_us / 2, ASK_NAMES_MIN, ASK_NAMES_MAX);
+}
+
+void question_ask(struct pass *pass, const struct target *t, bool possible)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	struct scheduler *s = pass->s;
+	struct advice *a;
+	bool first;
+
+	if (!t->step->advice)
+		t->step->advice = advice_create();
+	a = t->step->advice;
+	first = !a->answered;
+	if (a->asking) {
+		s->sums.steps_asking++;
+		return;
+	}
+	/* The verdicts on the runners are worth knowing before there is room, which has to be kept.
+	 */
+	if (!possible && !(first && (t->step->spec->gang || t->large))) {
+		s->sums.steps_without_room++;
+		t->pool->barren++;
+		return;
+	}
+	if (a->retry_ms > s->now_ms) {
+		s->sums.steps_not_asked++;
+		return;
+	}
+	add_candidates(t, exec, VERDICT_APPROVED, true, names_max(t));
+	add_candidates(t, exec, VERDICT_UNKNOWN, !first, names_max(t));
+	if (exec->len == 0)
+		return;
+	if (!may_ask(s, question_cost_us(t, exec->len))) {
+		s->sums.steps_not_asked++;
+		return;
+	}
+	send_question(pass, t, exec, question_cost_us(t, exec->len));
+}
+
+void question_renew(struct pass *pass, const struct target *t)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	struct scheduler *s = pass->s;
+	struct advice *a = t->step->advice;
+
+	if (!a || !a->answered || a->asking || a->retry_ms > s->now_ms)
+		return;
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
+
+		if (advice_verdict(a, e->handle) == VERDICT_APPROVED &&
+		    !advice_ticket(a, e->handle, s->now_ms + RENEW_MS))
+			g_ptr_array_add(exec, e);
+	}
+	if (exec->len && may_ask(s, question_cost_us(t, exec->len)))
+		send_question(pass, t, exec, question_cost_us(t, exec->len));
+}
--- /dev/null
+++ b/packages/cell/process/reserve.c
@@ -0,0 +1,95 @@
+#include "makeroom.h"
+#include "order.h"
+#include "reserve.h"
+
+#define BLOCKED_GANGS 2	 /* steps of a pool that keep room free while they wait */
+#define ROOM_STEPS    6	 /* steps of a pool for which others are stopped in one pass */
+#define ROOM_TRIES    12 /* searches for such room in one pass; each goes over all runs there */
+
+void reserve_hoped(const struct target *t, uint32_t waiting)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+	g_autofree int64_t *score = g_new(int64_t, t->exec->len + 1);
+
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
+
+		if (!target_has_room(t, e))
+			continue;
+		score[exec->len] = target_rate(t, e);
+		g_ptr_array_add(exec, e);
+	}
+	while (waiting && exec->len) {
+		guint best = 0;
+		struct exec *e;
+
+		for (guint i = 1; i < exec->len; i++)
+			if (score[i] < score[best])
+				best = i;
+		e = exec->pdata[best];
+		while (waiting && target_has_room(t, e)) {
+			amount_add(&e->hoped, &t->need);
+			waiting--;
+		}
+		score[best] = score[exec->len - 1];
+		g_ptr_array_remove_index_fast(exec, best);
+	}
+}
+
+bool reserve_keep(const struct target *t, uint32_t waiting)
+{
+	g_autoptr(GPtrArray) exec = g_ptr_array_new();
+
+	if (t->pool->blocked >= BLOCKED_GANGS)
+		return false;
+	t->pool->blocked++;
+	for (guint i = 0; i < t->exec->len; i++)
+		g_ptr_array_add(exec, t->exec->pdata[i]);
+	g_ptr_array_sort(exec, target_by_free);
+	for (guint i = 0; i < exec->len && waiting; i++, waiting--)
+		amount_add(&((struct exec *)exec->pdata[i])->hoped, &t->need);
+	return true;
+}
+
+/* Runners that may be ordered to run a task of the step, with room or without. */
+static GPtrArray *approved(const struct target *t)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < t->exec->len; i++) {
+		struct exec *e = t->exec->pdata[i];
+
+		if (!t->advised || advice_verdict(t->step->advice, e->handle) == VERDICT_APPROVED)
+			g_ptr_array_add(out, e);
+	}
+	return out;
+}
+
+bool reserve_make(struct pass *pass, const struct target *t, uint32_t count)
+{
+	const Cell__Step *spec = t->step->spec;
+	g_autoptr(GPtrArray) victims = g_ptr_array_new();
+	g_autofree struct exec **out = g_new0(struct exec *, count);
+	g_autoptr(GPtrArray) exec = NULL;
+	struct makeroom m = { .need = t->need, .count = count };
+
+	if (spec->one_rack || spec->spread_max || t->pool->cleared >= ROOM_STEPS)
+		return false;
+	if (t->pool->tries++ >= ROOM_TRIES)
+		return false;
+	exec = approved(t);
+	m.exec = exec;
+	m.priority = t->plan->job->priority;
+	m.stop = order_slack_ms(t->plan, pass->s->wall_ms) >= 0;
+	m.wall_ms = pass->s->wall_ms;
+	if (!makeroom_find(&m, out, victims))
+		return false;
+	t->pool->cleared++;
+	for (guint i = 0; i < victims->len; i++) {
+		scheduler_tell_run(pass->s, DECISION_PREEMPTED, victims->pdata[i]);
+		scheduler_stop_run(pass->s, victims->pdata[i]);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		amount_add(&out[i]->hoped, &t->need);
+	return true;
+}
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -1,6 +1,6 @@
 #define G_LOG_DOMAIN "scheduler"
 
-#include "scheduler_priv.h"
+#include "question.h"
 
 #define ASK_RETRY_MS	200  /* after the advisor did not answer */
 #define ORDER_WAY_MS	60   /* of a start to its runner: two regions, and the node between */
@@ -158,7 +158,7 @@
 	}
 	for (uint32_t i = 0; i < p->n_step; i++) {
 		if (p->step[i].advice)
-			pick_question_ends(s, p->step[i].advice);
+			question_ends(s, p->step[i].advice);
 		g_clear_pointer(&p->step[i].advice, advice_destroy);
 	}
 	g_ptr_array_remove(s->open, p);
@@ -259,7 +259,7 @@
 	of = p ? plan_step_number(p, occurrence, number) : NULL;
 	if (!of || !of->advice)
 		return;
-	pick_question_ends(s, of->advice);
+	question_ends(s, of->advice);
 	if (!answered) {
 		of->advice->retry_ms = now_ms + ASK_RETRY_MS;
 		return;
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -6,8 +6,8 @@
 
 /*
  * Parts of the scheduler: scheduler.c follows jobs, runners.c runners, their lives and leases,
- * runs.c orders starts and stops, looks.c reads what runners list, pick.c places tasks, progress.c
- * writes the log, sums.c counts.
+ * runs.c orders starts and stops, looks.c reads what runners list, pick.c places tasks (with
+ * target.c, question.c and reserve.c), progress.c writes the log, sums.c counts.
  */
 
 /* A ticket or lease has to be valid that much longer than now: intent, way and order take time. */
@@ -101,9 +101,6 @@
 /* looks_read - takes what the runner lists. sent_ms: when it was asked. */
 void looks_read(struct scheduler *s, struct exec *e, const struct look *look, int64_t sent_ms);
 
-/* pick_question_begins, pick_question_ends - of a step to the advisor. */
-void pick_question_begins(struct scheduler *s, struct advice *a, uint64_t cost_us);
-void pick_question_ends(struct scheduler *s, struct advice *a);
 /* pick_tasks - places what can start now, and asks for advice where it is missing. */
 void pick_tasks(struct scheduler *s);
 
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -8,12 +8,11 @@
  * reads the partitions, joblog_append.c appends what callers hand in.
  */
 
-#define TOPIC	   "keyed.jobs"
-#define PARTS	   2
-#define RETRY_MS   80  /* after a refusal or no answer */
-#define OVERLAP_MS 100 /* a quick store answers sooner, and one call at a time is enough */
-#define CALLS_MAX                                                                                  \
-	2 /* under way: a partition of a slow store takes 180 ms for each, one after the other */
+#define TOPIC	      "keyed.jobs"
+#define PARTS	      2
+#define RETRY_MS      80   /* after a refusal or no answer */
+#define OVERLAP_MS    100  /* a quick store answers sooner, and one call at a time is enough */
+#define CALLS_MAX     2	   /* of a partition; a slow one takes 180 ms for each, in turn */
 #define APPEND_MAX_MS 1400 /* half of the time that callers have; a slow store takes 0.6 s */
 
 /* Reader of one partition. */
