In a large cell a third of the processes is kept from long questions; the scheduler moves to a strong VM

And a scheduler on a VM of 0.12 of a core stays there once it has the lease.

Change: of more than three processes a third is kept, one of six, eight of 29. A scheduler gives its lease to a linked process whose VM has 1.4 times its processor; on alike VMs nothing changes.

--- a/packages/cell/process/question.c
+++ b/packages/cell/process/question.c
@@ -3,7 +3,8 @@
 #define ASK_NAMES_MAX 100   /* runners in one question, the platform's bound */
 #define ASK_NAMES_MIN 8	    /* named even where naming costs more than deciding */
 #define ASK_LONG_US   80000 /* of a question; urgent steps take 25 ms, all others 155 or more */
-#define ASK_KEPT_PART 5	    /* of the helpers, for short questions, which fill 40% of one */
+#define ASK_KEPT_LESS 3	    /* helpers of a small cell; of more than these a third is kept */
+#define ASK_KEPT_PART 3	    /* for short questions: one of 6, where they fill 40% of it, 8 of 29 */
 #define ASK_SHORT_US  75000 /* three short questions for a helper: they hide the way there */
 #define RENEW_MS      600   /* before tickets end: a question takes 400 ms, and its way */
 
@@ -37,7 +38,8 @@
 static bool may_ask(const struct scheduler *s, uint64_t cost_us)
 {
 	uint32_t helpers = MAX(s->helpers, 1);
-	uint32_t kept = helpers > 1 ? MAX(helpers / ASK_KEPT_PART, 1) : 0;
+	uint32_t more = MAX(helpers, ASK_KEPT_LESS) - ASK_KEPT_LESS;
+	uint32_t kept = helpers > 1 ? MAX(more / ASK_KEPT_PART, 1) : 0;
 
 	if (cost_us > ASK_LONG_US)
 		return s->asking_long < helpers - kept;
--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -7,6 +7,7 @@
 #include "links_priv.h"
 #include "log.h"
 
+#define STRONGER_MILLI 1400 /* of another VM's processor; less is not worth a change */
 #define ASK_TIMEOUT_MS 3500 /* an advisor's queue of calls is shorter */
 
 /* A node that is linked to this one. */
@@ -15,7 +16,7 @@
 	struct link *link;
 	char *name;
 	char *dc;
-	bool weak;
+	uint32_t cpu_milli;
 	uint64_t load_us; /* of the questions under way */
 	int64_t heard_ms; /* last message */
 	int64_t beat_ms;  /* last beat to it */
@@ -103,7 +104,7 @@
 		p->name = g_strdup(e->link_hello->node);
 		g_free(p->dc);
 		p->dc = g_strdup(e->link_hello->dc);
-		p->weak = e->link_hello->weak;
+		p->cpu_milli = e->link_hello->cpu_milli;
 		log_info("accept", p->name, "linked");
 		p->links->ops->peers(p->links->ctx, p->links->peer->len);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
@@ -244,10 +245,17 @@
 	return slash ? g_ascii_strtoull(slash + 1, NULL, 10) : 0;
 }
 
+static bool is_stronger(uint32_t cpu_milli, uint32_t than_milli)
+{
+	return cpu_milli * 1000 > than_milli * STRONGER_MILLI;
+}
+
 static bool succeeds_better(const struct peer *p, const struct peer *than)
 {
-	if (!than || p->weak != than->weak)
-		return !than || than->weak;
+	if (!than || is_stronger(p->cpu_milli, than->cpu_milli))
+		return true;
+	if (is_stronger(than->cpu_milli, p->cpu_milli))
+		return false;
 	return begun_of(p->name) > begun_of(than->name);
 }
 
@@ -264,6 +272,20 @@
 	return best ? best->name : "";
 }
 
+const char *links_stronger(const struct links *l)
+{
+	const struct peer *best = NULL;
+
+	for (guint i = 0; i < l->peer->len; i++) {
+		const struct peer *p = l->peer->pdata[i];
+
+		if (p->name && !is_silent(p) && is_stronger(p->cpu_milli, l->cpu_milli) &&
+		    succeeds_better(p, best))
+			best = p;
+	}
+	return best ? best->name : NULL;
+}
+
 bool links_give(struct peer *p, const Kw__Envelope *e)
 {
 	return link_send(p->link, e, 0) > 0;
--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -52,14 +52,14 @@
 	return G_SOURCE_CONTINUE;
 }
 
-struct links *links_create(const char *self, const char *dc, bool weak, const struct links_ops *ops,
-			   void *ctx)
+struct links *links_create(const char *self, const char *dc, uint32_t cpu_milli,
+			   const struct links_ops *ops, void *ctx)
 {
 	struct links *l = g_new0(struct links, 1);
 
 	l->self = g_strdup(self);
 	l->dc = g_strdup(dc);
-	l->weak = weak;
+	l->cpu_milli = cpu_milli;
 	l->ops = ops;
 	l->ctx = ctx;
 	linkpeers_create(l);
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -42,8 +42,9 @@
 	void (*peers)(void *ctx, uint32_t n);
 };
 
-struct links *links_create(const char *self, const char *dc, bool weak, const struct links_ops *ops,
-			   void *ctx);
+/* links_create - cpu_milli: of this VM. */
+struct links *links_create(const char *self, const char *dc, uint32_t cpu_milli,
+			   const struct links_ops *ops, void *ctx);
 void links_destroy(struct links *l);
 /* links_listen - on ip and port; false with the reason in st. */
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
@@ -88,9 +89,15 @@
 uint32_t links_count(const struct links *l);
 /*
  * links_successor - name of a linked node that may be the scheduler next, "" for none; valid until
- * the loop runs. Where nodes are restarted in turn, the one that began last stays for longest.
+ * the loop runs. The strongest VM; where nodes are restarted in turn, and VMs are alike, the one
+ * that began last, which stays for longest.
  */
 const char *links_successor(const struct links *l);
+/*
+ * links_stronger - name of a linked node on a VM with a much stronger processor than this one, NULL
+ * for none; valid until the loop runs.
+ */
+const char *links_stronger(const struct links *l);
 /* links_give - false if the peer can't take it. */
 bool links_give(struct peer *p, const Kw__Envelope *e);
 /* links_reply - to the scheduler; dropped if the link is gone. */
--- a/packages/node/connection/links_priv.h
+++ b/packages/node/connection/links_priv.h
@@ -12,7 +12,7 @@
 struct links {
 	char *self;
 	char *dc;
-	bool weak;
+	uint32_t cpu_milli;
 	const struct links_ops *ops;
 	void *ctx;
 	GSocketService *service;
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -117,7 +117,7 @@
 	m.node = l->self;
 	m.term = l->term;
 	m.dc = l->dc;
-	m.weak = l->weak;
+	m.cpu_milli = l->cpu_milli;
 	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
 	e.link_hello = &m;
 	link_send(l->up, &e, 0);
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -31,6 +31,7 @@
 	uint64_t term;
 	bool leading;
 	bool closing;
+	bool yielding; /* closing for this term only */
 	bool release_due;
 	bool reading;
 	bool appending;
@@ -90,6 +91,8 @@
 	if (!e->leading)
 		return;
 	e->leading = false;
+	e->closing = e->closing && !e->yielding;
+	e->yielding = false;
 	e->caught_up = false;
 	e->heard_ms = node_now_ms();
 	g_clear_pointer(&e->holder, g_free);
@@ -331,7 +334,7 @@
 	g_free(e);
 }
 
-void election_release(struct election *e, const char *successor)
+static void begin_handover(struct election *e, const char *successor)
 {
 	g_free(e->successor);
 	e->successor = g_strdup(successor);
@@ -342,6 +345,21 @@
 		append(e, CELL__LEAD_KIND__RELEASE);
 }
 
+void election_release(struct election *e, const char *successor)
+{
+	e->yielding = false;
+	if (!e->closing)
+		begin_handover(e, successor);
+}
+
+void election_yield(struct election *e, const char *successor)
+{
+	if (!e->leading || e->closing)
+		return;
+	e->yielding = true;
+	begin_handover(e, successor);
+}
+
 void election_suspect(struct election *e)
 {
 	if (!e->leading)
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -55,6 +55,8 @@
  * another claim or is superseded, for ELECTION_HANDOVER_MS at the most.
  */
 void election_release(struct election *e, const char *successor);
+/* election_yield - as election_release(), but this node may claim again later. */
+void election_yield(struct election *e, const char *successor);
 /* election_suspect - the holder's process seems to have ended: its lease is not waited for. */
 void election_suspect(struct election *e);
 /* election_superseded - a runner or the log has seen a higher term. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -6,9 +6,12 @@
 #include "log.h"
 #include "node_priv.h"
 
-#define POKE_MS	      4	   /* what happens within it is decided together */
-#define REST_FACTOR   3	   /* a pass that took long is followed by that much time for all else */
-#define SUMS_EVERY_MS 2000 /* between log lines of what the scheduler has done */
+#define POKE_MS	       4    /* what happens within it is decided together */
+#define REST_FACTOR    3    /* a pass that took long is followed by that much time for all else */
+#define WEAK_CPU_MILLI 200  /* a scheduler took 170 of a core at 20 jobs a second */
+#define YIELD_AFTER_MS 500  /* of scheduling: all nodes have linked by then */
+#define YIELD_EVERY_MS 5000 /* if the stronger node did not take over */
+#define SUMS_EVERY_MS  2000 /* between log lines of what the scheduler has done */
 
 int64_t node_now_ms(void)
 {
@@ -43,6 +46,21 @@
 	arm(n, node_now_ms() + POKE_MS);
 }
 
+/* Scheduling is what takes most processor: on unlike VMs it moves to a strong one. */
+static void yield_to_stronger(struct node *n, int64_t now)
+{
+	const char *name;
+
+	if (now < n->yield_ms || n->stopping || !election_renewing(n->election))
+		return;
+	name = links_stronger(n->links);
+	if (!name)
+		return;
+	n->yield_ms = now + YIELD_EVERY_MS;
+	log_notice("yield", name, "its VM is stronger: it is to be the scheduler");
+	election_yield(n->election, name);
+}
+
 static int64_t grant_until(const struct node *n)
 {
 	return election_renewed_ms(n->election) + ELECTION_GRANT_MS;
@@ -64,6 +82,7 @@
 		n->sums_ms = now + SUMS_EVERY_MS;
 		decisions_log_sums(n->scheduler);
 	}
+	yield_to_stronger(n, now);
 	took = node_now_ms() - now;
 	n->rest_until_ms = now + took + REST_FACTOR * took;
 	arm(n, MAX(next, now + POKE_MS));
@@ -101,6 +120,7 @@
 	}
 	conf.inherited_ms = (uint32_t)(MAX(past_ms - now, 0) + exec_lease_most_ms(conf.lease_ms));
 	n->scheduler = scheduler_create(&conf, joblog_book(n->log), &node_scheduler_ops, n, now);
+	n->yield_ms = now + YIELD_AFTER_MS;
 	scheduler_grant_until(n->scheduler, grant_until(n));
 	scheduler_configure(n->scheduler, n->queues);
 	/* Nodes may have linked before the job log was read. */
@@ -306,12 +326,13 @@
 	n->ctx = ctx;
 	n->self = g_strdup_printf("%s/%" G_GINT64_FORMAT, conf->name, g_get_real_time());
 	n->asks = g_hash_table_new_full(NULL, NULL, NULL, node_ask_free);
-	n->links = links_create(n->self, conf->dc, conf->weak, &links_ops, n);
+	n->links = links_create(n->self, conf->dc, conf->cpu_milli, &links_ops, n);
 	n->relay = relay_create(runners, n->links);
 	n->helper = helper_create(advisor, node_helped, n);
 	n->log = joblog_create(store, &joblog_ops, n);
 	n->intake = intake_create(n->log, n->links);
-	n->election = election_create(store, n->self, address, conf->weak, &election_ops, n);
+	n->election = election_create(store, n->self, address, conf->cpu_milli < WEAK_CPU_MILLI,
+				      &election_ops, n);
 	return n;
 }
 
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -17,7 +17,7 @@
 	const char *dc;
 	const char *ip; /* links from other nodes are taken here */
 	uint16_t link_port;
-	bool weak; /* this VM had better not be the scheduler */
+	uint32_t cpu_milli; /* of this VM, of a core */
 	struct scheduler_conf scheduler;
 	struct metrics *metrics; /* outlives the node */
 };
--- a/packages/node/process/node_priv.h
+++ b/packages/node/process/node_priv.h
@@ -34,7 +34,8 @@
 	int64_t timer_ms;
 	int64_t rest_until_ms; /* no pass before */
 	int64_t sums_ms;
-	guint down; /* idle source that steps down */
+	int64_t yield_ms; /* not to be given to a stronger node before */
+	guint down;	  /* idle source that steps down */
 	char *down_by;
 	bool stopping;
 };
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1772,12 +1772,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "weak",
-    4,
+    "cpu_milli",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cell__LinkHello, weak),
+    offsetof(Cell__LinkHello, cpu_milli),
     NULL,
     NULL,
     0,             /* flags */
@@ -1785,14 +1785,15 @@
   },
 };
 static const unsigned cell__link_hello__field_indices_by_name[] = {
+  3,   /* field[3] = cpu_milli */
   2,   /* field[2] = dc */
   0,   /* field[0] = node */
   1,   /* field[1] = term */
-  3,   /* field[3] = weak */
 };
-static const ProtobufCIntRange cell__link_hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange cell__link_hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 5, 3 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor cell__link_hello__descriptor =
@@ -1806,7 +1807,7 @@
   4,
   cell__link_hello__field_descriptors,
   cell__link_hello__field_indices_by_name,
-  1,  cell__link_hello__number_ranges,
+  2,  cell__link_hello__number_ranges,
   (ProtobufCMessageInit) cell__link_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -167,9 +167,9 @@
   uint64_t term;
   char *dc;
   /*
-   * Its VM had better not be the scheduler.
+   * Of its VM; the strongest is the best scheduler.
    */
-  protobuf_c_boolean weak;
+  uint32_t cpu_milli;
 };
 #define CELL__LINK_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__link_hello__descriptor) \
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -342,6 +342,25 @@
 	end(l, v, 2);
 }
 
+/* Pattern: a weak VM claimed first. It hands over, and may claim again when the other is lost. */
+Test(election, a_holder_that_yields_may_claim_again)
+{
+	struct fake_log *l = fake_log_create();
+	struct voter v[2] = { 0 };
+
+	pair_begin(l, v);
+	election_yield(v[0].election, "b");
+	pass(l, v, 2, 500);
+	cr_assert_gt(v[1].term, 0);
+	cr_assert_eq(v[0].term, 0);
+	cr_assert_not(election_released(v[0].election));
+	fake_forget(v[1].client);
+	g_clear_pointer(&v[1].election, election_destroy);
+	pass(l, v, 2, 3000);
+	cr_assert_gt(v[0].term, 0);
+	end(l, v, 2);
+}
+
 Test(election, a_holder_that_stops_does_not_wait_for_long)
 {
 	struct fake_log *l = fake_log_create();
