--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -6,33 +6,39 @@
 #define ROOM_STEPS    6	 /* steps of a pool for which others are stopped in one pass */
 #define ROOM_TRIES    12 /* searches for such room in one pass; each goes over all runs there */
 
+struct fit {
+	struct exec *exec;
+	int64_t score; /* lower is tighter */
+};
+
+static int by_score(gconstpointer a, gconstpointer b)
+{
+	const struct fit *x = a;
+	const struct fit *y = b;
+
+	return x->score < y->score ? -1 : x->score > y->score;
+}
+
 void reserve_hoped(const struct target *t, uint32_t waiting)
 {
-	g_autoptr(GPtrArray) exec = g_ptr_array_new();
-	g_autofree int64_t *score = g_new(int64_t, t->exec->len + 1);
+	g_autoptr(GArray) fits = g_array_new(FALSE, FALSE, sizeof(struct fit));
 
 	for (guint i = 0; i < t->exec->len; i++) {
-		struct exec *e = t->exec->pdata[i];
+		struct fit fit = { .exec = t->exec->pdata[i] };
 
-		if (!target_has_room(t, e))
+		if (!target_has_room(t, fit.exec))
 			continue;
-		score[exec->len] = target_rate(t, e);
-		g_ptr_array_add(exec, e);
+		fit.score = target_rate(t, fit.exec);
+		g_array_append_val(fits, fit);
 	}
-	while (waiting && exec->len) {
-		guint best = 0;
-		struct exec *e;
+	g_array_sort(fits, by_score);
+	for (guint i = 0; i < fits->len && waiting; i++) {
+		struct exec *e = g_array_index(fits, struct fit, i).exec;
 
-		for (guint i = 1; i < exec->len; i++)
-			if (score[i] < score[best])
-				best = i;
-		e = exec->pdata[best];
 		while (waiting && target_has_room(t, e)) {
 			amount_add(&e->hoped, &t->need);
 			waiting--;
 		}
-		score[best] = score[exec->len - 1];
-		g_ptr_array_remove_index_fast(exec, best);
 	}
 }
 
