--- a/packages/cell/process/makeroom.c
+++ b/packages/cell/process/makeroom.c
@@ -5,8 +5,7 @@
 struct site {
 	struct exec *exec;
 	struct amount free; /* and what tasks that are being stopped will leave */
-	GPtrArray
-		*victims; /* of struct run, largest first; those of the first `taken` are stopped */
+	GPtrArray *victims; /* of struct run, largest first; the first `taken` are stopped */
 	guint taken;
 };
 
--- a/packages/cell/process/makeroom.h
+++ b/packages/cell/process/makeroom.h
@@ -5,15 +5,16 @@
 #include "request/plan.h"
 
 /*
- * makeroom - room for a gang by stopping tasks of less urgent jobs.
+ * makeroom - room for a gang, or for large tasks, by stopping tasks of less urgent jobs.
  *
- * A gang needs room on several runners at the same moment; where small tasks are spread over all of
- * them it waits for seconds. Tasks that save their progress lose nothing by a stop, and those of a
- * job with MAKEROOM_SLACK_MS to spare can go on elsewhere in time.
+ * A gang needs room on several runners at the same moment, and a large task much of one; where
+ * small tasks are spread over all runners they wait for seconds. Tasks that save their progress
+ * lose nothing by a stop, and those of a job with MAKEROOM_SLACK_MS to spare can go on elsewhere in
+ * time.
  */
 #define MAKEROOM_SLACK_MS 4000 /* a stop, a restore and a wait for other room take up to 2.5 s */
 
-/* What is looked for: room for `count` members on some of the runners. */
+/* What is looked for: room for `count` members (or large tasks) on some of the runners. */
 struct makeroom {
 	const GPtrArray *exec; /* of struct exec, that may run a member */
 	struct amount need;    /* of one member */
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -253,7 +253,7 @@
 		question_renew(pass, t);
 }
 
-/* On most runners that could run it. */
+/* Whether a task takes more than one of LARGE_PART parts of most runners that could run it. */
 static bool is_large(const struct target *t)
 {
 	uint32_t large = 0;
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -2,7 +2,7 @@
 #include "order.h"
 #include "reserve.h"
 
-#define BLOCKED_GANGS 2	 /* steps of a pool that keep room free while they wait */
+#define BLOCKED_STEPS 2	 /* steps of a pool that keep room free while they wait */
 #define ROOM_STEPS    6	 /* steps of a pool for which others are stopped in one pass */
 #define ROOM_TRIES    12 /* searches for such room in one pass; each goes over all runs there */
 
@@ -46,7 +46,7 @@
 {
 	g_autoptr(GPtrArray) exec = g_ptr_array_new();
 
-	if (t->pool->blocked >= BLOCKED_GANGS)
+	if (t->pool->blocked >= BLOCKED_STEPS)
 		return false;
 	t->pool->blocked++;
 	for (guint i = 0; i < t->exec->len; i++)
--- a/packages/cell/process/yield.h
+++ b/packages/cell/process/yield.h
@@ -14,9 +14,8 @@
  * yield.
  */
 #define YIELD_SLACK_MS 5000 /* about the length of the long tasks that fill a pool */
-#define YIELD_MILLI                                                                                \
-	150 /* of a runner; a burst doubles urgent work that takes a fifth of a pool               \
-	     */
+/* Of a runner; a burst doubles urgent work that takes a fifth of a pool. */
+#define YIELD_MILLI 150
 
 /* yield_milli - the part of a runner, of 1000, that tasks of the job have to leave free now. */
 uint32_t yield_milli(const struct plan *p, const struct queues *q, int64_t wall_ms);
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -14,6 +14,8 @@
 struct links;
 struct peer;
 
+#define LINKS_SILENT_MS 500 /* three beats lost; 24 ms there and back between regions */
+
 /* state is the one that may be shown; known is false if the other side does not schedule it. */
 typedef void (*state_fn)(void *ctx, bool known, enum job_state state);
 
--- a/packages/node/connection/links_priv.h
+++ b/packages/node/connection/links_priv.h
@@ -32,8 +32,7 @@
 	int64_t tick_ms; /* last tick */
 };
 
-#define LINKS_BEAT_MS	150 /* a fifth of the time after which a node may take over */
-#define LINKS_SILENT_MS 500 /* three beats lost; 24 ms there and back between regions */
+#define LINKS_BEAT_MS 150 /* a fifth of the time after which a node may take over */
 
 extern const struct link_conf links_conf;
 
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -14,15 +14,13 @@
  * by itself. One that was not renewed for ELECTION_GRANT_MS grants no leases to runners any more,
  * so that its successor knows when the last of them ends.
  */
-#define ELECTION_RENEW_MS    400  /* four renewals may get lost before the lease ends */
-#define ELECTION_LEASE_MS    2000 /* half of the platform's bound for a machine out of touch */
-#define ELECTION_QUICK_MS    900  /* two renewals lost; only for a holder that is silent too */
-#define ELECTION_SILENT_MS   500  /* three beats of the holder lost */
-#define ELECTION_HANDOVER_MS 2000 /* release, claim and fence take 1.6 s in a slow store */
-#define ELECTION_STOP_MS     8000 /* longer than most outages of the store, in which work goes on */
-#define ELECTION_GRANT_MS                                                                          \
-	3000 /* a lease of the holder, and a renewal under way in a slow store                     \
-	      */
+#define ELECTION_RENEW_MS 400  /* four renewals may get lost before the lease ends */
+#define ELECTION_LEASE_MS 2000 /* half of the platform's bound for a machine out of touch */
+#define ELECTION_QUICK_MS 900  /* two renewals lost; only for a holder that is silent too */
+#define ELECTION_GRANT_MS 3000 /* the lease, and a renewal under way in a slow store */
+#define ELECTION_STOP_MS  8000 /* longer than most outages of the store, in which work goes on */
+/* Release, claim and fence take 1.6 s in a slow store. */
+#define ELECTION_HANDOVER_MS 2000
 
 struct election;
 
--- a/packages/node/process/joblog_append.c
+++ b/packages/node/process/joblog_append.c
@@ -1,7 +1,7 @@
 #include "joblog_priv.h"
 
-#define APPEND_MIN_MS                                                                              \
-	900 /* a store 90 times as slow takes 522, and 174 for each call before this one */
+/* A store 90 times as slow takes 522 ms, and 174 for each call before this one. */
+#define APPEND_MIN_MS  900
 #define APPEND_FACTOR  4      /* of the time that appends took lately */
 #define TRIES_MAX      3      /* of a record of a caller, who does better with another node then */
 #define CALL_BYTES_MAX 262144 /* of an append; far below the platform's limit of a call */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -170,7 +170,7 @@
 
 static bool on_silent(void *ctx)
 {
-	return links_silence_ms(((struct node *)ctx)->links) > ELECTION_SILENT_MS;
+	return links_silence_ms(((struct node *)ctx)->links) > LINKS_SILENT_MS;
 }
 
 static const struct election_ops election_ops = {
