Fields that nobody reads are gone; one copy of a runner that is born again in tests

Cause: run.counted_on and the gang's wait in the scheduler's settings were set, or not even that, and never read; is_large() counted what an array's length says; two tests built the same runner.

Behaviour stays as it is, and so do the tests' assertions.

--- a/packages/cell/process/exec.h
+++ b/packages/cell/process/exec.h
@@ -62,10 +62,9 @@
 	int64_t stop_sent_ms;	  /* of the last stop, 0 for none */
 	int64_t stop_answered_ms; /* the runner won't start it any more, from then on; 0 for none */
 	uint32_t orders;
-	bool inherited;	 /* ordered by an older scheduler */
-	bool stopping;	 /* to be stopped */
-	bool listed;	 /* in the list that is being read */
-	bool counted_on; /* its work counts as started */
+	bool inherited; /* ordered by an older scheduler */
+	bool stopping;	/* to be stopped */
+	bool listed;	/* in the list that is being read */
 };
 
 struct exec {
--- a/packages/cell/process/pick.c
+++ b/packages/cell/process/pick.c
@@ -257,17 +257,15 @@
 static bool is_large(const struct target *t)
 {
 	uint32_t large = 0;
-	uint32_t n = 0;
 
 	for (guint i = 0; i < t->exec->len; i++) {
 		const struct exec *e = t->exec->pdata[i];
 
-		n++;
 		large += t->need.cpu_milli * LARGE_PART > e->room.cpu_milli ||
 			 t->need.mem_bytes * LARGE_PART > e->room.mem_bytes ||
 			 t->need.accel * LARGE_PART > e->room.accel;
 	}
-	return large * 2 > n;
+	return large * 2 > t->exec->len;
 }
 
 static void place_step(struct pass *pass, struct plan *p, struct plan_step *step)
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -154,7 +154,6 @@
 	uint32_t lease_ms;	 /* of what runs */
 	uint32_t lease_cap_ms;	 /* a runner shortens longer ones to that */
 	uint32_t stop_ms;	 /* a runner takes at most that long to stop a task */
-	uint32_t gang_ms;	 /* a gang's members wait that long for each other */
 	uint32_t write_every_ms; /* between batches for the log, each a call to the store */
 	uint32_t status_keep_ms; /* ended jobs are known for that long */
 	/* Runs of an older scheduler may live that long, from now, on a runner out of reach. */
--- a/tests/cell/bed.c
+++ b/tests/cell/bed.c
@@ -191,7 +191,6 @@
 	const struct scheduler_conf conf = { .lease_ms = 6000,
 					     .lease_cap_ms = 10000,
 					     .stop_ms = 900,
-					     .gang_ms = 3000,
 					     .write_every_ms = b->write_every_ms,
 					     .status_keep_ms = 120000,
 					     .inherited_ms = b->inherited_ms };
@@ -446,3 +445,17 @@
 	bed_ack(b);
 	bed_accept_all(b);
 }
+
+void bed_reborn(struct bed *b)
+{
+	const struct runner_info info = { .id = "r0",
+					  .address = "10.0.0.1:80",
+					  .service = "desk",
+					  .zone = "dc",
+					  .rack = "rack0",
+					  .born_ms = 2000,
+					  .room = { 1000, 1 << 30, 0 } };
+
+	scheduler_runner(b->sched, &info, b->now_ms);
+	b->born_ms = info.born_ms;
+}
--- a/tests/cell/bed.h
+++ b/tests/cell/bed.h
@@ -102,4 +102,7 @@
 /* bed_start_at - the i-th start that was not answered. */
 struct bed_start *bed_start_at(struct bed *b, guint i);
 
+/* bed_reborn - runner r0 of bed_plain() is listed with a new life, which answers from then on. */
+void bed_reborn(struct bed *b);
+
 #endif
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -221,7 +221,6 @@
 	static const struct scheduler_conf conf = { .lease_ms = LEASE_MS,
 						    .lease_cap_ms = LEASE_CAP_MS,
 						    .stop_ms = STOP_MS,
-						    .gang_ms = GANG_MS,
 						    .status_keep_ms = 1000000,
 						    .inherited_ms = INHERITED_MS };
 	struct sim_sched *n = g_new0(struct sim_sched, 1);
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -13,19 +13,11 @@
 Test(scheduler, a_runner_born_again)
 {
 	struct bed *b = bed_plain(1, 1000);
-	struct runner_info info = { .id = "r0",
-				    .address = "10.0.0.1:80",
-				    .service = "desk",
-				    .zone = "dc",
-				    .rack = "rack0",
-				    .born_ms = 2000,
-				    .room = { 1000, 1 << 30, 0 } };
 
 	bed_run(b, bed_job(ID_A, "urgent", 1, 100));
-	scheduler_runner(b->sched, &info, b->now_ms);
+	bed_reborn(b);
 	cr_assert_not_null(bed_plan(b, ID_A)->task[0].live);
 	cr_assert(bed_plan(b, ID_A)->dirty, "the log has to tell of the new life");
-	b->born_ms = 2000;
 	bed_settle(b);
 	cr_assert_eq(bed_plan(b, ID_A)->task[0].run, 2);
 	bed_destroy(b);
@@ -39,13 +31,6 @@
 Test(scheduler, an_answer_to_an_older_look_proves_nothing)
 {
 	struct bed *b = bed_plain(1, 1000);
-	struct runner_info info = { .id = "r0",
-				    .address = "10.0.0.1:80",
-				    .service = "desk",
-				    .zone = "dc",
-				    .rack = "rack0",
-				    .born_ms = 2000,
-				    .room = { 1000, 1 << 30, 0 } };
 	struct look late = { .born_ms = 2000, .clock_ms = 100 };
 	const struct look_running row = { .task = ID_A ".0.0.0", .run = 2, .checkpoint = "" };
 	uint64_t older;
@@ -55,8 +40,7 @@
 	cr_assert_eq(b->look->len, 1);
 	older = g_array_index(b->look, struct bed_look, 0).no;
 	g_array_set_size(b->look, 0);
-	scheduler_runner(b->sched, &info, b->now_ms);
-	b->born_ms = 2000;
+	bed_reborn(b);
 	bed_settle(b);
 	while (bed_ack(b))
 		;
