--- /dev/null
+++ b/tests/node/test_helper.c
@@ -0,0 +1,56 @@
+#include <criterion/criterion.h>
+
+#include "process/helper.h"
+
+/* Questions that a node asks the advisor, one after the other. */
+
+struct asked {
+	uint32_t n;
+	uint64_t last;
+	advised_fn fn;
+	void *ctx;
+	uint32_t under_way;
+};
+
+static void hold_question(void *impl, const char *step, const char *const *runner, size_t n,
+			  advised_fn fn, void *ctx)
+{
+	struct asked *a = impl;
+
+	a->under_way++;
+	a->fn = fn;
+	a->ctx = ctx;
+}
+
+static const struct advisor_ops advisor_ops = { .ask = hold_question };
+
+static void on_helped(void *ctx, uint64_t call, bool remote, bool answered,
+		      const struct ticket *ticket, size_t n, uint32_t validity_ms)
+{
+	struct asked *a = ctx;
+
+	a->n++;
+	a->last = call;
+}
+
+/* The advisor serves one call of a VM at a time; those of an older scheduler are dropped unsent. */
+Test(helper, one_question_at_a_time)
+{
+	const char *const names[] = { "r" };
+	struct asked a = { 0 };
+	const struct advisor advisor = { .ops = &advisor_ops, .impl = &a };
+	struct helper *h = helper_create(&advisor, on_helped, &a);
+
+	for (uint64_t call = 1; call <= 3; call++)
+		helper_ask(h, call, true, "s", names, 1, 100);
+	cr_assert_eq(a.under_way, 1);
+	cr_assert_eq(helper_load_us(h), 300);
+	a.fn(a.ctx, true, NULL, 0, 0);
+	cr_assert_eq(a.last, 1);
+	cr_assert_eq(a.under_way, 2);
+	helper_clear(h, true);
+	cr_assert_eq(helper_load_us(h), 100);
+	a.fn(a.ctx, true, NULL, 0, 0);
+	cr_assert_eq(a.n, 2, "the third was never sent");
+	helper_destroy(h);
+}
