tests: split the tests of links, relay and intake, and use free ports

Its fixture is now endpoint.c, and each job has a file. The fixed ports made node_links fail with "Address already in use" when several copies of the tests ran on one machine; the fixture now takes a free port. The cases and their assertions are unchanged.

--- /dev/null
+++ b/tests/node/endpoint.c
@@ -0,0 +1,210 @@
+#include <criterion/criterion.h>
+
+#include "endpoint.h"
+#include "fakestore.h"
+
+static bool on_job_state(void *ctx, const char *id, enum job_state *state)
+{
+	*state = JOB_DONE;
+	return g_str_equal(id, "known");
+}
+
+static void on_advice_requested(void *ctx, uint64_t call, const char *step,
+				const char *const *runner, size_t n)
+{
+	struct endpoint *e = ctx;
+	const struct ticket t = { .runner = runner[0], .ticket = "paper" };
+
+	e->asked++;
+	if (!e->ignores_orders)
+		links_reply_advice(e->links, call, true, &t, 1, 2000);
+}
+
+static void on_advice_received(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
+			       size_t n, uint32_t validity_ms)
+{
+	struct endpoint *e = ctx;
+
+	e->advised++;
+	e->answered = answered;
+	if (n)
+		g_strlcpy(e->ticket, ticket[0].ticket, sizeof(e->ticket));
+}
+
+static void on_append_requested(void *ctx, struct peer *p, const Cell__AppendAsk *ask)
+{
+	struct endpoint *e = ctx;
+
+	e->appended++;
+	links_reply_append(e->links, p, ask->call,
+			   e->refuses_appends		   ? STORE_REFUSED
+			   : g_str_equal(ask->key, "good") ? STORE_OK
+			   : g_str_equal(ask->key, "bad")  ? STORE_REFUSED
+							   : STORE_UNKNOWN);
+}
+
+static void on_order_received(void *ctx, const Kw__Envelope *m)
+{
+	struct endpoint *e = ctx;
+
+	if (!e->ignores_orders)
+		relay_handle_order(e->relay, m);
+}
+
+static void on_order_replied(void *ctx, const Kw__Envelope *m)
+{
+	relay_handle_reply(((struct endpoint *)ctx)->relay, m);
+}
+
+static void on_peer_lost(void *ctx, const struct peer *p)
+{
+	relay_peer_lost(((struct endpoint *)ctx)->relay, p);
+}
+
+static void on_connection_refused(void *ctx)
+{
+}
+
+static void on_peers_changed(void *ctx, uint32_t n)
+{
+	((struct endpoint *)ctx)->peers = n;
+}
+
+static bool on_store_reachable(void *ctx)
+{
+	return !((struct endpoint *)ctx)->store_down;
+}
+
+static const struct links_ops ops = {
+	.store_reachable = on_store_reachable,
+	.job_state = on_job_state,
+	.advice_requested = on_advice_requested,
+	.advice_received = on_advice_received,
+	.append_requested = on_append_requested,
+	.order_received = on_order_received,
+	.order_replied = on_order_replied,
+	.peer_lost = on_peer_lost,
+	.connection_refused = on_connection_refused,
+	.peers_changed = on_peers_changed,
+};
+
+/* A runner that executes every order at once; it checks that all fields arrive. */
+static void do_start(void *impl, const struct start_order *o, uint64_t term, started_fn fn,
+		     void *ctx)
+{
+	bool whole = g_str_equal(o->runner, "r") && g_str_equal(o->task, "t") && o->run == 3 &&
+		     g_str_equal(o->payload, "p") && !o->ticket &&
+		     g_strcmp0(o->checkpoint, "c") == 0 && o->deadline_ms == 77 && term == 9;
+
+	fn(ctx, whole ? START_OK : START_REFUSED);
+}
+
+static void do_stop(void *impl, const char *runner, const char *address, const char *task,
+		    uint32_t run, uint64_t term, stopped_fn fn, void *ctx)
+{
+	fn(ctx, true);
+}
+
+static void do_poll(void *impl, const struct poll_order *o, uint64_t term, polled_fn fn, void *ctx)
+{
+	const struct poll_running running = {
+		.task = "t", .run = 3, .checkpoint = "c", .usage = 5
+	};
+	const struct poll_ended ended = {
+		.seq = 4, .task = "u", .run = 1, .end = END_FAILED, .checkpoint = ""
+	};
+	const struct poll_reply reply = { .incarnation_ms = 11,
+					  .clock_ms = 12,
+					  .running = &running,
+					  .n_running = 1,
+					  .ended = &ended,
+					  .n_ended = 1 };
+
+	fn(ctx, o->acked_end == 2 ? &reply : NULL);
+}
+
+static const struct runner_ops runner_ops = {
+	.start = do_start,
+	.stop = do_stop,
+	.poll = do_poll,
+};
+
+void endpoint_open(struct endpoint *e, const char *name)
+{
+	static const struct runner_client runners = { .ops = &runner_ops };
+
+	e->links = links_create(name, "dc", 250, &ops, e);
+	e->relay = relay_create(e->runners ? e->runners : &runners, e->links);
+}
+
+void endpoint_close(struct endpoint *e)
+{
+	links_destroy(e->links);
+	relay_destroy(e->relay);
+}
+
+void endpoint_run_until(const uint32_t *count, uint32_t least)
+{
+	for (int i = 0; i < ROUNDS_MAX && *count < least; i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	cr_assert_geq(*count, least);
+}
+
+void endpoint_run_for(int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += 50) {
+		fake_now_ms += 50;
+		for (int i = 0; i < 600; i++) {
+			g_main_context_iteration(NULL, FALSE);
+			g_usleep(100);
+		}
+	}
+}
+
+/* A port that was free a moment ago; several copies of the tests may run on one machine. */
+static uint16_t free_port(void)
+{
+	g_autoptr(GInetAddress) ip = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	g_autoptr(GSocketAddress) any = g_inet_socket_address_new(ip, 0);
+	g_autoptr(GSocket) sock = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+					       G_SOCKET_PROTOCOL_TCP, NULL);
+	g_autoptr(GSocketAddress) bound = NULL;
+
+	cr_assert(g_socket_bind(sock, any, TRUE, NULL));
+	bound = g_socket_get_local_address(sock, NULL);
+	return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+}
+
+uint16_t endpoint_listen(struct endpoint *e)
+{
+	struct status st = STATUS_INIT;
+	uint16_t port = free_port();
+
+	cr_assert(links_listen(e->links, "127.0.0.1", port, &st), "%s", st.message);
+	return port;
+}
+
+void endpoint_link(struct endpoint *a, struct endpoint *b, uint16_t port, uint64_t term)
+{
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%u", port);
+
+	links_set_scheduler(b->links, address, term);
+	endpoint_run_until(&a->peers, 1);
+	for (int i = 0; i < ROUNDS_MAX && !*links_pick_successor(a->links); i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	cr_assert_str_eq(links_pick_successor(a->links), "b");
+}
+
+void endpoint_connect_pair(struct endpoint *a, struct endpoint *b)
+{
+	uint16_t port;
+
+	endpoint_open(a, "a");
+	endpoint_open(b, "b");
+	port = endpoint_listen(a);
+	endpoint_link(a, b, port, 9);
+}
