tests: a reply to an order of an earlier scheduler reaches the next one, known red

A node that relays a poll answers whichever scheduler it is linked to when the runner replies, and the scheduler matches replies by call number alone. Each process counts its calls from 1, so the reply to a poll of runner r1 by the scheduler before is delivered to the next one as the list of r2.

Fails on this commit: "the list of r1 was delivered as that of r2"; the incarnation that is read is 111 where 222 is expected.

--- a/tests/node/test_relay.c
+++ b/tests/node/test_relay.c
@@ -101,3 +101,80 @@
 		endpoint_close(&a);
 	}
 }
+
+/* A runner that answers polls only when told to, and any number of them. */
+struct slow_runner {
+	uint32_t n;
+	polled_fn fn[4];
+	void *ctx[4];
+};
+
+static void hold_poll(void *impl, const struct poll_order *o, uint64_t term, polled_fn fn,
+		      void *ctx)
+{
+	struct slow_runner *r = impl;
+
+	r->fn[r->n] = fn;
+	r->ctx[r->n++] = ctx;
+}
+
+static void answer_poll(const struct slow_runner *r, uint32_t i, int64_t incarnation_ms)
+{
+	const struct poll_reply reply = { .incarnation_ms = incarnation_ms };
+
+	r->fn[i](r->ctx[i], &reply);
+}
+
+static void on_incarnation(void *ctx, const struct poll_reply *reply)
+{
+	if (reply)
+		g_array_append_val((GArray *)ctx, reply->incarnation_ms);
+}
+
+static void run_loop(void)
+{
+	for (int i = 0; i < 600; i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+}
+
+/*
+ * Guards against a reply being taken for that of another order: a node finishes a poll of one
+ * scheduler after it has linked to the next one, whose polls have the same call numbers. The next
+ * one then took the list of one runner for that of another, and lost runs that had ended.
+ */
+Test(relay, reply_to_an_order_of_another_scheduler_is_not_delivered)
+{
+	static const struct runner_ops slow_ops = { .poll = hold_poll };
+	struct slow_runner runner = { 0 };
+	const struct runner_client slow = { .ops = &slow_ops, .impl = &runner };
+	const struct poll_order first = { .route = { .dc = "dc" }, .runner = "r1" };
+	const struct poll_order second = { .route = { .dc = "dc" },
+					   .runner = "r2",
+					   .timeout_ms = 5000 };
+	struct endpoint before = { 0 };
+	struct endpoint after = { 0 };
+	struct endpoint node = { .runners = &slow };
+	g_autoptr(GArray) got = g_array_new(FALSE, FALSE, sizeof(int64_t));
+
+	endpoint_open(&before, "before");
+	endpoint_open(&after, "after");
+	endpoint_open(&node, "b");
+	endpoint_link(&before, &node, endpoint_listen(&before), 9);
+	relay_poll(before.relay, &first, 9, on_incarnation, got);
+	endpoint_run_until(&runner.n, 1);
+	endpoint_link(&after, &node, endpoint_listen(&after), 10);
+	relay_poll(after.relay, &second, 10, on_incarnation, got);
+	endpoint_run_until(&runner.n, 2);
+	answer_poll(&runner, 0, 111);
+	run_loop();
+	cr_expect_eq(got->len, 0, "the list of r1 was delivered as that of r2");
+	answer_poll(&runner, 1, 222);
+	run_loop();
+	cr_assert_eq(got->len, 1);
+	cr_expect_eq(g_array_index(got, int64_t, 0), 222);
+	endpoint_close(&node);
+	endpoint_close(&after);
+	endpoint_close(&before);
+}
