cell, node: log incarnations of restarted runners and ends that are ignored

The logs of the incident could not tell a runner that restarted from one that another runner's list was taken for, nor a failed end that was counted from one that was dropped. The line of a restart now names both incarnations, the end of a run that is not the current one has a line and a counter (end_ignored), and a new scheduler logs how many runs of earlier ones it adopts and for how long these may still grant leases. No decision changes.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -69,6 +69,19 @@
 	}
 }
 
+static void ignore_end(struct scheduler *s, const struct cell_runner *rn, const struct cell_job *j,
+		       uint32_t task, const struct poll_ended *end)
+{
+	const struct decision d = { .kind = DECISION_END_IGNORED,
+				    .job = j,
+				    .runner = rn->id,
+				    .task = task,
+				    .run = end->run,
+				    .end = end->end };
+
+	scheduler_report(s, &d);
+}
+
 static void process_end(struct scheduler *s, struct cell_runner *rn, const struct poll_ended *end)
 {
 	struct cell_job *j;
@@ -88,6 +101,7 @@
 		scheduler_drop_run(s, r);
 	} else if (end->end != END_DONE || j->task[task].done) {
 		/* This end of an older run changes nothing. */
+		ignore_end(s, rn, j, task, end);
 		return;
 	} else if (r) {
 		/* An older run finished the task after all: the newer one is redundant. */
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -68,8 +68,13 @@
 				const struct runner_info *info)
 {
 	struct cell_runner *fresh = create_incarnation(s, info);
+	const struct decision d = { .kind = DECISION_RUNNER_RESTARTED,
+				    .runner = rn->id,
+				    .age_ms = s->now_ms - rn->answered_ms,
+				    .incarnation_ms = info->incarnation_ms,
+				    .old_incarnation_ms = rn->incarnation_ms };
 
-	scheduler_report_runner(s, DECISION_RUNNER_RESTARTED, rn, s->now_ms - rn->answered_ms);
+	scheduler_report(s, &d);
 	while (rn->runs->len) {
 		struct run *r = rn->runs->pdata[rn->runs->len - 1];
 
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -7,7 +7,7 @@
 #define EXPIRE_EVERY_MS	 5000 /* between searches for expired jobs */
 #define IDLE_TICK_MS	 1000
 
-static void report(struct scheduler *s, const struct decision *d)
+void scheduler_report(struct scheduler *s, const struct decision *d)
 {
 	if (s->ops->decided)
 		s->ops->decided(s->ctx, d);
@@ -22,7 +22,7 @@
 				    .run = r->number,
 				    .age_ms = s->now_ms - r->planned_ms };
 
-	report(s, &d);
+	scheduler_report(s, &d);
 }
 
 void scheduler_report_runner(struct scheduler *s, enum decision_kind kind,
@@ -30,7 +30,7 @@
 {
 	const struct decision d = { .kind = kind, .runner = rn->id, .age_ms = age_ms };
 
-	report(s, &d);
+	scheduler_report(s, &d);
 }
 
 void scheduler_report_job(struct scheduler *s, enum decision_kind kind, const struct cell_job *j)
@@ -39,7 +39,7 @@
 				    .job = j,
 				    .age_ms = s->wall_ms - j->spec->accepted_ms };
 
-	report(s, &d);
+	scheduler_report(s, &d);
 }
 
 static void open_job(struct scheduler *s, struct cell_job *j)
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -116,6 +116,7 @@
 	DECISION_HUNG,		     /* a run makes no progress and is stopped */
 	DECISION_LOST,		     /* a run is gone and its end is not known */
 	DECISION_PREEMPTED,	     /* a run is stopped for more urgent work */
+	DECISION_END_IGNORED,	     /* a runner lists the end of a run that is not the live one */
 	DECISION_RUNNER_SILENT,	     /* a runner does not answer polls */
 	DECISION_RUNNER_RECOVERED,   /* it answers polls again */
 	DECISION_RUNNER_QUARANTINED, /* too many of its runs failed in a row */
@@ -129,8 +130,11 @@
 	const char *runner;	    /* NULL if it is about a job only */
 	uint32_t task;
 	uint32_t run;
-	int64_t age_ms; /* of the job, of the run, or since the runner's last answer; length of a
-			   quarantine */
+	int64_t age_ms;	  /* of the job, of the run, or since the runner's last answer; length of a
+			     quarantine */
+	enum run_end end; /* of DECISION_END_IGNORED */
+	int64_t incarnation_ms;	    /* of DECISION_RUNNER_RESTARTED */
+	int64_t old_incarnation_ms; /* of DECISION_RUNNER_RESTARTED */
 };
 
 struct scheduler_ops {
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -44,7 +44,11 @@
 	struct scheduler_stats stats;
 };
 
-/* scheduler_report_run, scheduler_report_runner, scheduler_report_job - report a decision. */
+/*
+ * scheduler_report, scheduler_report_run, scheduler_report_runner, scheduler_report_job - report a
+ * decision.
+ */
+void scheduler_report(struct scheduler *s, const struct decision *d);
 void scheduler_report_run(struct scheduler *s, enum decision_kind kind, const struct run *r);
 void scheduler_report_runner(struct scheduler *s, enum decision_kind kind,
 			     const struct cell_runner *rn, int64_t age_ms);
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -46,9 +46,20 @@
 		[DECISION_LOST] = "run lost",
 		[DECISION_PREEMPTED] = "preempted for more urgent work"
 	};
+	static const char *const ends[] = { [END_DONE] = "done",
+					    [END_FAILED] = "failed",
+					    [END_STOPPED] = "stopped",
+					    [END_LAPSED] = "lapsed",
+					    [END_GANG_BROKEN] = "broken gang",
+					    [END_GANG_INCOMPLETE] = "incomplete gang" };
 	char task[TASK_NAME_BYTES];
 
 	cell_job_task_name(d->job, d->task, task);
+	if (d->kind == DECISION_END_IGNORED) {
+		log_request(LOG_INFO, task, "end", d->runner,
+			    "%s: ignored, as run %u is not the current one", ends[d->end], d->run);
+		return;
+	}
 	log_request(LOG_INFO, task, "run", d->runner,
 		    "%s: run %u, planned %" G_GINT64_FORMAT " ms ago", names[d->kind], d->run,
 		    d->age_ms);
@@ -56,14 +67,18 @@
 
 static void log_runner(const struct decision *d)
 {
-	static const char *const names[] = {
-		[DECISION_RUNNER_SILENT] = "silent for",
-		[DECISION_RUNNER_RECOVERED] = "answers again after",
-		[DECISION_RUNNER_QUARANTINED] = "its runs fail; no starts for",
-		[DECISION_RUNNER_RESTARTED] =
-			"restarted; time since its previous incarnation last answered:",
-	};
-
+	static const char *const names[] = { [DECISION_RUNNER_SILENT] = "silent for",
+					     [DECISION_RUNNER_RECOVERED] = "answers again after",
+					     [DECISION_RUNNER_QUARANTINED] =
+						     "its runs fail; no starts for" };
+
+	if (d->kind == DECISION_RUNNER_RESTARTED) {
+		log_info("runner", d->runner,
+			 "restarted: incarnation %" G_GINT64_FORMAT " instead of %" G_GINT64_FORMAT
+			 ", which last answered %" G_GINT64_FORMAT " ms ago",
+			 d->incarnation_ms, d->old_incarnation_ms, d->age_ms);
+		return;
+	}
 	log_info("runner", d->runner, "%s %" G_GINT64_FORMAT " ms", names[d->kind], d->age_ms);
 }
 
@@ -80,7 +95,8 @@
 					     [DECISION_RUNNER_RECOVERED] = "runner_back",
 					     [DECISION_RUNNER_QUARANTINED] = "runner_barred",
 					     [DECISION_RUNNER_RESTARTED] = "runner_born",
-					     [DECISION_PREEMPTED] = "run_preempted" };
+					     [DECISION_PREEMPTED] = "run_preempted",
+					     [DECISION_END_IGNORED] = "end_ignored" };
 
 	metrics_counter(m, "kw_decisions_total", "Decisions of the scheduler by kind.", "kind",
 			names[d->kind], NULL)
@@ -104,7 +120,7 @@
 	count(d, metrics);
 	if (d->kind <= DECISION_FIRST_START)
 		log_job(d, term);
-	else if (d->kind <= DECISION_PREEMPTED)
+	else if (d->kind <= DECISION_END_IGNORED)
 		log_run(d);
 	else
 		log_runner(d);
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -113,6 +113,7 @@
 	struct scheduler_conf conf = n->conf.scheduler;
 	int64_t now = node_now_ms();
 	int64_t prior_grants_end_ms = election_prior_grants_end_ms(n->election);
+	struct scheduler_stats stats;
 
 	if (result != STORE_OK) {
 		node_step_down_soon(n, "the job log");
@@ -127,8 +128,12 @@
 	scheduler_configure(n->scheduler, n->queues);
 	/* Nodes may have linked before the job log was read. */
 	scheduler_set_advisor_clients(n->scheduler, links_peer_count(n->links) + 1);
-	log_notice("lead", NULL, "starting the scheduler with %u jobs, term %" G_GUINT64_FORMAT,
-		   job_table_size(joblog_job_table(n->log)), n->term);
+	scheduler_stats(n->scheduler, &stats);
+	log_notice("lead", NULL,
+		   "starting the scheduler with %u jobs and %u runs of earlier schedulers, which "
+		   "may grant leases for %" G_GINT64_FORMAT " ms, term %" G_GUINT64_FORMAT,
+		   job_table_size(joblog_job_table(n->log)), stats.runs,
+		   MAX(prior_grants_end_ms - now, 0), n->term);
 	intake_set_scheduling(n->intake, true);
 	n->ops->scheduling_changed(n->ctx, true);
 	node_schedule_pass(n);
