node: answer a call only on the link on which it came

Cause: a node that carries an order for the scheduler answers on whatever link to a scheduler it has when the runner replies, and the scheduler matches replies by the number of the call alone. Each process counts its calls from 1. After a takeover the reply to a poll of the earlier scheduler was taken for the reply to another poll of the next one: the list of one runner for that of another. The other list has another incarnation, mostly a younger one, so the runner counted as restarted, its real replies as those of an older incarnation, and 10 s later its runs as lost. A foreign reply to a start, or foreign ends, can do the same harm at once. Advice was passed on in the same way; a reply to an append went to a node with the same address in memory as the lost one.

Change: links have numbers that are not reused. A call is passed on with the number of its link and answered on that link or not at all. A reply to an order or to a request for advice counts only if it comes from the peer that was asked.

--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -14,6 +14,7 @@
 struct peer {
 	struct links *links;
 	struct link *link;
+	uint64_t number; /* of the link */
 	char *name;
 	char *dc;
 	uint32_t cpu_milli;
@@ -76,8 +77,9 @@
 	link_send(p->link, &e, 0);
 }
 
-static void handle_advice_reply(struct links *l, const Cell__AdviceReply *m)
+static void handle_advice_reply(struct peer *p, const Cell__AdviceReply *m)
 {
+	struct links *l = p->links;
 	g_autofree struct ticket *ticket = g_new0(struct ticket, m->n_ticket + 1);
 
 	for (size_t i = 0; i < m->n_ticket; i++) {
@@ -85,7 +87,10 @@
 		ticket[i].ticket = m->ticket[i]->ticket;
 	}
 	for (guint i = 0; i < l->advice_request->len; i++) {
-		if (g_array_index(l->advice_request, struct advice_request, i).call != m->call)
+		const struct advice_request *q =
+			&g_array_index(l->advice_request, struct advice_request, i);
+
+		if (q->call != m->call || q->peer != p)
 			continue;
 		finish_advice(l, i, m->answered, ticket, m->n_ticket, m->validity_ms);
 		return;
@@ -110,11 +115,11 @@
 	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
 		reply_state(p, e->state_ask);
 	} else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_REPLY) {
-		handle_advice_reply(p->links, e->advice_reply);
+		handle_advice_reply(p, e->advice_reply);
 	} else if (e->body_case == KW__ENVELOPE__BODY_APPEND_ASK) {
-		p->links->ops->append_requested(p->links->ctx, p, e->append_ask);
+		p->links->ops->append_requested(p->links->ctx, p->number, e->append_ask);
 	} else {
-		p->links->ops->order_replied(p->links->ctx, e);
+		p->links->ops->order_replied(p->links->ctx, p, e);
 	}
 }
 
@@ -134,6 +139,7 @@
 
 	links_set_timeouts(conn);
 	p->links = l;
+	p->number = ++l->last_link;
 	p->last_heard_ms = node_now_ms();
 	p->link = link_create(conn, &links_conf, &peer_ops, p);
 	g_ptr_array_add(l->peer, p);
@@ -146,14 +152,24 @@
 		drop_peer(l->peer->pdata[0]);
 }
 
-void links_reply_append(struct links *l, const struct peer *p, uint64_t call,
-			enum store_result result)
+static struct peer *find_peer(const struct links *l, uint64_t number)
+{
+	for (guint i = 0; i < l->peer->len; i++) {
+		struct peer *p = l->peer->pdata[i];
+
+		if (p->number == number)
+			return p;
+	}
+	return NULL;
+}
+
+void links_reply_append(struct links *l, uint64_t link, uint64_t call, enum store_result result)
 {
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
-	guint i;
+	struct peer *p = find_peer(l, link);
 
-	if (!g_ptr_array_find(l->peer, p, &i))
+	if (!p)
 		return;
 	m.call = call;
 	m.stored = result == STORE_OK;
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -11,6 +11,9 @@
  * links - framed TCP connections between the scheduler and the other nodes. Each node keeps one
  * link to the scheduler and uses it to query job states and to append records; the scheduler uses
  * it to send orders for runners and requests for advice.
+ *
+ * Each process numbers its calls by itself, so a reply is valid only on the link on which the call
+ * came. Links are identified by numbers that are not reused.
  */
 struct links;
 struct peer;
@@ -25,7 +28,7 @@
 	/* job_state - a peer queries the state of a job; returns false if it is not known here. */
 	bool (*job_state)(void *ctx, const char *id, enum job_state *state);
 	/* advice_requested - the scheduler requests advice; answer by links_reply_advice(). */
-	void (*advice_requested)(void *ctx, uint64_t call, const char *step,
+	void (*advice_requested)(void *ctx, uint64_t link, uint64_t call, const char *step,
 				 const char *const *runner, size_t n);
 	/*
 	 * advice_received - reply of a node; answered is false if there is none or its link was
@@ -34,11 +37,11 @@
 	void (*advice_received)(void *ctx, uint64_t call, bool answered,
 				const struct ticket *ticket, size_t n, uint32_t validity_ms);
 	/* append_requested - a peer requests an append; answer by links_reply_append(). */
-	void (*append_requested)(void *ctx, struct peer *p, const Cell__AppendAsk *ask);
+	void (*append_requested)(void *ctx, uint64_t link, const Cell__AppendAsk *ask);
 	/* order_received - an order for a runner; answer by links_reply_order(). */
-	void (*order_received)(void *ctx, const Kw__Envelope *e);
-	/* order_replied - reply to an order that this node sent. */
-	void (*order_replied)(void *ctx, const Kw__Envelope *e);
+	void (*order_received)(void *ctx, uint64_t link, const Kw__Envelope *e);
+	/* order_replied - the peer's reply to an order. */
+	void (*order_replied)(void *ctx, const struct peer *p, const Kw__Envelope *e);
 	/* peer_lost - orders that were sent to this peer will not be answered. */
 	void (*peer_lost)(void *ctx, const struct peer *p);
 	/* connection_refused - the scheduler's host is up but its process has exited. */
@@ -72,9 +75,8 @@
  */
 bool links_request_append(struct links *l, const char *key, const uint8_t *value, size_t size,
 			  uint32_t timeout_ms, append_reply_fn fn, void *ctx);
-/* links_reply_append - answers a peer; p may have been freed since its request. */
-void links_reply_append(struct links *l, const struct peer *p, uint64_t call,
-			enum store_result result);
+/* links_reply_append - answers a peer; dropped if that link is gone. */
+void links_reply_append(struct links *l, uint64_t link, uint64_t call, enum store_result result);
 /*
  * links_request_state - asks the scheduler for the state of a job. Returns false if there is no
  * link; otherwise fn is called, at the latest on a timeout.
@@ -88,9 +90,9 @@
 bool links_request_advice(struct links *l, uint64_t call, const char *step,
 			  const char *const *runner, size_t n, uint64_t cost_us,
 			  uint64_t own_load_us);
-/* links_reply_advice - answers a request of the scheduler. */
-void links_reply_advice(struct links *l, uint64_t call, bool answered, const struct ticket *ticket,
-			size_t n, uint32_t validity_ms);
+/* links_reply_advice - answers a request of the scheduler; dropped if that link is gone. */
+void links_reply_advice(struct links *l, uint64_t link, uint64_t call, bool answered,
+			const struct ticket *ticket, size_t n, uint32_t validity_ms);
 
 /*
  * links_pick_peer - picks a linked node to carry orders to a runner, preferring the runner's data
@@ -113,7 +115,7 @@
 const char *links_larger_peer(const struct links *l);
 /* links_send_order - returns false if the message could not be queued. */
 bool links_send_order(struct peer *p, const Kw__Envelope *e);
-/* links_reply_order - answers the scheduler; dropped if the link is gone. */
-void links_reply_order(struct links *l, const Kw__Envelope *e);
+/* links_reply_order - answers the scheduler; dropped if that link is gone. */
+void links_reply_order(struct links *l, uint64_t link, const Kw__Envelope *e);
 
 #endif
--- a/packages/node/connection/links_priv.h
+++ b/packages/node/connection/links_priv.h
@@ -16,10 +16,12 @@
 	const struct links_ops *ops;
 	void *ctx;
 	GSocketService *service;
+	uint64_t last_link;	/* number of the last link */
 	GPtrArray *peer;	/* of struct peer */
 	GArray *advice_request; /* of struct advice_request: sent to peers, not yet answered */
 	/* The link to the scheduler. */
 	struct link *uplink;
+	uint64_t uplink_number;
 	char *address;
 	uint64_t term;
 	bool dialling;
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -93,11 +93,11 @@
 	else if (e->body_case == KW__ENVELOPE__BODY_LEAD_BEAT)
 		handle_heartbeat(l, e);
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
-		l->ops->advice_requested(l->ctx, e->advice_ask->call, e->advice_ask->step,
-					 (const char *const *)e->advice_ask->runner,
-					 e->advice_ask->n_runner);
+		l->ops->advice_requested(
+			l->ctx, l->uplink_number, e->advice_ask->call, e->advice_ask->step,
+			(const char *const *)e->advice_ask->runner, e->advice_ask->n_runner);
 	else
-		l->ops->order_received(l->ctx, e);
+		l->ops->order_received(l->ctx, l->uplink_number, e);
 }
 
 static void on_uplink_closed(void *ctx, struct link *link, const char *why)
@@ -145,6 +145,7 @@
 	}
 	links_set_timeouts(conn);
 	l->uplink = link_create(conn, &links_conf, &uplink_ops, l);
+	l->uplink_number = ++l->last_link;
 	send_hello(l);
 }
 
@@ -225,15 +226,20 @@
 	return send_call(l, &e, &c);
 }
 
-void links_reply_advice(struct links *l, uint64_t call, bool answered, const struct ticket *ticket,
-			size_t n, uint32_t validity_ms)
+static bool is_uplink(const struct links *l, uint64_t link)
+{
+	return l->uplink && l->uplink_number == link;
+}
+
+void links_reply_advice(struct links *l, uint64_t link, uint64_t call, bool answered,
+			const struct ticket *ticket, size_t n, uint32_t validity_ms)
 {
 	Kw__Envelope e = KW__ENVELOPE__INIT;
 	Cell__AdviceReply m = CELL__ADVICE_REPLY__INIT;
 	g_autofree Cell__Ticket *row = g_new(Cell__Ticket, n + 1);
 	g_autofree Cell__Ticket **rows = g_new(Cell__Ticket *, n + 1);
 
-	if (!l->uplink)
+	if (!is_uplink(l, link))
 		return;
 	for (size_t i = 0; i < n; i++) {
 		row[i] = (Cell__Ticket)CELL__TICKET__INIT;
@@ -251,9 +257,9 @@
 	link_send(l->uplink, &e, 0);
 }
 
-void links_reply_order(struct links *l, const Kw__Envelope *e)
+void links_reply_order(struct links *l, uint64_t link, const Kw__Envelope *e)
 {
-	if (l->uplink)
+	if (is_uplink(l, link))
 		link_send(l->uplink, e, 0);
 }
 
--- a/packages/node/process/advisor_queue.c
+++ b/packages/node/process/advisor_queue.c
@@ -4,7 +4,7 @@
 struct request {
 	struct advisor_queue *queue;
 	uint64_t call;
-	bool remote;
+	uint64_t link;
 	char *step;
 	char **runner;
 	size_t n;
@@ -37,7 +37,7 @@
 
 	aq->in_flight = NULL;
 	aq->load_us -= q->cost_us;
-	aq->fn(aq->ctx, q->call, q->remote, answered, ticket, n, validity_ms);
+	aq->fn(aq->ctx, q->call, q->link, answered, ticket, n, validity_ms);
 	request_free(q);
 	send_next(aq);
 }
@@ -56,14 +56,14 @@
 			     on_advised, q);
 }
 
-void advisor_queue_ask(struct advisor_queue *aq, uint64_t call, bool remote, const char *step,
+void advisor_queue_ask(struct advisor_queue *aq, uint64_t call, uint64_t link, const char *step,
 		       const char *const *runner, size_t n, uint64_t cost_us)
 {
 	struct request *q = g_new0(struct request, 1);
 
 	q->queue = aq;
 	q->call = call;
-	q->remote = remote;
+	q->link = link;
 	q->step = g_strdup(step);
 	q->runner = advice_copy_runners(runner, n);
 	q->n = n;
@@ -84,7 +84,7 @@
 		GList *next = i->next;
 		struct request *q = i->data;
 
-		if (q->remote == remote) {
+		if ((q->link != 0) == remote) {
 			aq->load_us -= q->cost_us;
 			g_queue_delete_link(&aq->waiting, i);
 			request_free(q);
--- a/packages/node/process/advisor_queue.h
+++ b/packages/node/process/advisor_queue.h
@@ -9,14 +9,15 @@
  */
 struct advisor_queue;
 
-typedef void (*advisor_queue_fn)(void *ctx, uint64_t call, bool remote, bool answered,
+/* link: on which another node requested it; 0 for a request of this node. */
+typedef void (*advisor_queue_fn)(void *ctx, uint64_t call, uint64_t link, bool answered,
 				 const struct ticket *ticket, size_t n, uint32_t validity_ms);
 
 struct advisor_queue *advisor_queue_create(const struct advisor *advisor, advisor_queue_fn fn,
 					   void *ctx);
 void advisor_queue_destroy(struct advisor_queue *aq);
-/* advisor_queue_ask - copies its arguments. remote: the request comes from another node. */
-void advisor_queue_ask(struct advisor_queue *aq, uint64_t call, bool remote, const char *step,
+/* advisor_queue_ask - copies its arguments; call and link are passed to fn. */
+void advisor_queue_ask(struct advisor_queue *aq, uint64_t call, uint64_t link, const char *step,
 		       const char *const *runner, size_t n, uint64_t cost_us);
 /* advisor_queue_load_us - estimated time the advisor needs for all outstanding requests. */
 uint64_t advisor_queue_load_us(const struct advisor_queue *aq);
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -232,10 +232,10 @@
 	return intake_find_state(((struct node *)ctx)->intake, id, state);
 }
 
-static void on_advice_requested(void *ctx, uint64_t call, const char *step,
+static void on_advice_requested(void *ctx, uint64_t link, uint64_t call, const char *step,
 				const char *const *runner, size_t n)
 {
-	advisor_queue_ask(((struct node *)ctx)->advisor_queue, call, true, step, runner, n, 0);
+	advisor_queue_ask(((struct node *)ctx)->advisor_queue, call, link, step, runner, n, 0);
 }
 
 static void on_advice_received(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
@@ -255,7 +255,7 @@
 /* An append that another node requested. */
 struct forwarded_append {
 	struct node *node;
-	const struct peer *peer;
+	uint64_t link;
 	uint64_t call;
 };
 
@@ -263,17 +263,17 @@
 {
 	struct forwarded_append *f = ctx;
 
-	links_reply_append(f->node->links, f->peer, f->call, result);
+	links_reply_append(f->node->links, f->link, f->call, result);
 	g_free(f);
 }
 
-static void on_append_requested(void *ctx, struct peer *p, const Cell__AppendAsk *ask)
+static void on_append_requested(void *ctx, uint64_t link, const Cell__AppendAsk *ask)
 {
 	struct node *n = ctx;
 	struct forwarded_append *f = g_new0(struct forwarded_append, 1);
 
 	f->node = n;
-	f->peer = p;
+	f->link = link;
 	f->call = ask->call;
 	if (!n->scheduler) {
 		on_forwarded_appended(f, STORE_REFUSED);
@@ -283,14 +283,14 @@
 		      node_now_ms() + ask->within_ms, on_forwarded_appended, f);
 }
 
-static void on_order_received(void *ctx, const Kw__Envelope *e)
+static void on_order_received(void *ctx, uint64_t link, const Kw__Envelope *e)
 {
-	relay_handle_order(((struct node *)ctx)->relay, e);
+	relay_handle_order(((struct node *)ctx)->relay, link, e);
 }
 
-static void on_order_replied(void *ctx, const Kw__Envelope *e)
+static void on_order_replied(void *ctx, const struct peer *p, const Kw__Envelope *e)
 {
-	relay_handle_reply(((struct node *)ctx)->relay, e);
+	relay_handle_reply(((struct node *)ctx)->relay, p, e);
 }
 
 static void on_peer_lost(void *ctx, const struct peer *p)
--- a/packages/node/process/node_priv.h
+++ b/packages/node/process/node_priv.h
@@ -57,7 +57,7 @@
 void node_handle_advice(struct node *n, uint64_t call, bool answered, const struct ticket *ticket,
 			size_t count, uint32_t validity_ms);
 /* node_advice_done - the advisor_queue_fn of the node. */
-void node_advice_done(void *ctx, uint64_t call, bool remote, bool answered,
+void node_advice_done(void *ctx, uint64_t call, uint64_t link, bool answered,
 		      const struct ticket *ticket, size_t count, uint32_t validity_ms);
 
 #endif
--- a/packages/node/process/node_sched.c
+++ b/packages/node/process/node_sched.c
@@ -136,7 +136,7 @@
 	/* On equal load another node asks, since this one also schedules. */
 	if (!links_request_advice(n->links, call, step, runner, count, cost_us,
 				  advisor_queue_load_us(n->advisor_queue) + cost_us))
-		advisor_queue_ask(n->advisor_queue, call, false, step, runner, count, cost_us);
+		advisor_queue_ask(n->advisor_queue, call, 0, step, runner, count, cost_us);
 }
 
 void node_handle_advice(struct node *n, uint64_t call, bool answered, const struct ticket *ticket,
@@ -158,13 +158,13 @@
 	g_hash_table_remove(n->advice_call, GUINT_TO_POINTER(call));
 }
 
-void node_advice_done(void *ctx, uint64_t call, bool remote, bool answered,
+void node_advice_done(void *ctx, uint64_t call, uint64_t link, bool answered,
 		      const struct ticket *ticket, size_t count, uint32_t validity_ms)
 {
 	struct node *n = ctx;
 
-	if (remote)
-		links_reply_advice(n->links, call, answered, ticket, count, validity_ms);
+	if (link)
+		links_reply_advice(n->links, link, call, answered, ticket, count, validity_ms);
 	else
 		node_handle_advice(n, call, answered, ticket, count, validity_ms);
 }
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -33,6 +33,7 @@
 /* An order of the scheduler that this node executes. */
 struct received_order {
 	struct relay *relay;
+	uint64_t link; /* on which it came */
 	uint64_t call;
 };
 
@@ -201,41 +202,43 @@
 	o->fn.polled(o->ctx, m->answered ? &reply : NULL);
 }
 
-static struct sent_order *take_sent_order(struct relay *r, uint64_t call, enum order_kind kind)
+static struct sent_order *take_sent_order(struct relay *r, const struct peer *p, uint64_t call,
+					  enum order_kind kind)
 {
 	struct sent_order *o = g_hash_table_lookup(r->sent, GUINT_TO_POINTER(call));
 
-	if (!o || o->kind != kind)
+	if (!o || o->kind != kind || o->peer != p)
 		return NULL;
 	g_hash_table_steal(r->sent, GUINT_TO_POINTER(call));
 	return o;
 }
 
-void relay_handle_reply(struct relay *r, const Kw__Envelope *e)
+void relay_handle_reply(struct relay *r, const struct peer *p, const Kw__Envelope *e)
 {
 	struct sent_order *o = NULL;
 
 	if (e->body_case == KW__ENVELOPE__BODY_START_REPLY) {
-		o = take_sent_order(r, e->start_reply->call, ORDER_START);
+		o = take_sent_order(r, p, e->start_reply->call, ORDER_START);
 		if (o)
 			o->fn.started(o->ctx, (enum start_result)e->start_reply->result);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STOP_REPLY) {
-		o = take_sent_order(r, e->stop_reply->call, ORDER_STOP);
+		o = take_sent_order(r, p, e->stop_reply->call, ORDER_STOP);
 		if (o)
 			o->fn.stopped(o->ctx, e->stop_reply->answered);
 	} else if (e->body_case == KW__ENVELOPE__BODY_LOOK_REPLY) {
-		o = take_sent_order(r, e->look_reply->call, ORDER_POLL);
+		o = take_sent_order(r, p, e->look_reply->call, ORDER_POLL);
 		if (o)
 			handle_poll_reply(o, e->look_reply);
 	}
 	g_free(o);
 }
 
-static struct received_order *received_order_create(struct relay *r, uint64_t call)
+static struct received_order *received_order_create(struct relay *r, uint64_t link, uint64_t call)
 {
 	struct received_order *o = g_new0(struct received_order, 1);
 
 	o->relay = r;
+	o->link = link;
 	o->call = call;
 	return o;
 }
@@ -250,7 +253,7 @@
 	m.result = result;
 	e.body_case = KW__ENVELOPE__BODY_START_REPLY;
 	e.start_reply = &m;
-	links_reply_order(o->relay->links, &e);
+	links_reply_order(o->relay->links, o->link, &e);
 	g_free(o);
 }
 
@@ -264,7 +267,7 @@
 	m.answered = answered;
 	e.body_case = KW__ENVELOPE__BODY_STOP_REPLY;
 	e.stop_reply = &m;
-	links_reply_order(o->relay->links, &e);
+	links_reply_order(o->relay->links, o->link, &e);
 	g_free(o);
 }
 
@@ -316,7 +319,7 @@
 		fill_poll_reply(&m, reply, running, ended);
 	e.body_case = KW__ENVELOPE__BODY_LOOK_REPLY;
 	e.look_reply = &m;
-	links_reply_order(o->relay->links, &e);
+	links_reply_order(o->relay->links, o->link, &e);
 	g_free(o);
 }
 
@@ -325,7 +328,7 @@
 	return *text ? text : NULL;
 }
 
-void relay_handle_order(struct relay *r, const Kw__Envelope *e)
+void relay_handle_order(struct relay *r, uint64_t link, const Kw__Envelope *e)
 {
 	const struct runner_ops *ops = r->runners.ops;
 
@@ -342,12 +345,12 @@
 					     .timeout_ms = m->timeout_ms };
 
 		ops->start(r->runners.impl, &order, m->term, on_started,
-			   received_order_create(r, m->call));
+			   received_order_create(r, link, m->call));
 	} else if (e->body_case == KW__ENVELOPE__BODY_STOP_ORDER) {
 		const Cell__StopOrder *m = e->stop_order;
 
 		ops->stop(r->runners.impl, m->runner, m->address, m->task, m->run, m->term,
-			  on_stopped, received_order_create(r, m->call));
+			  on_stopped, received_order_create(r, link, m->call));
 	} else if (e->body_case == KW__ENVELOPE__BODY_LOOK_ORDER) {
 		const Cell__LookOrder *m = e->look_order;
 		struct poll_order order = { .runner = m->runner,
@@ -358,7 +361,7 @@
 					    .timeout_ms = m->timeout_ms };
 
 		ops->poll(r->runners.impl, &order, m->term, on_polled,
-			  received_order_create(r, m->call));
+			  received_order_create(r, link, m->call));
 	}
 }
 
--- a/packages/node/process/relay.h
+++ b/packages/node/process/relay.h
@@ -26,8 +26,8 @@
 		void *ctx);
 
 /* Events of struct links_ops. */
-void relay_handle_order(struct relay *r, const Kw__Envelope *e);
-void relay_handle_reply(struct relay *r, const Kw__Envelope *e);
+void relay_handle_order(struct relay *r, uint64_t link, const Kw__Envelope *e);
+void relay_handle_reply(struct relay *r, const struct peer *p, const Kw__Envelope *e);
 void relay_peer_lost(struct relay *r, const struct peer *p);
 /* relay_cancel_all - completes all outstanding orders of this node as not answered. */
 void relay_cancel_all(struct relay *r);
--- a/tests/node/endpoint.c
+++ b/tests/node/endpoint.c
@@ -9,15 +9,17 @@
 	return g_str_equal(id, "known");
 }
 
-static void on_advice_requested(void *ctx, uint64_t call, const char *step,
+static void on_advice_requested(void *ctx, uint64_t link, uint64_t call, const char *step,
 				const char *const *runner, size_t n)
 {
 	struct endpoint *e = ctx;
 	const struct ticket t = { .runner = runner[0], .ticket = "paper" };
 
 	e->asked++;
+	e->last_link = link;
+	e->last_call = call;
 	if (!e->ignores_orders)
-		links_reply_advice(e->links, call, true, &t, 1, 2000);
+		links_reply_advice(e->links, link, call, true, &t, 1, 2000);
 }
 
 static void on_advice_received(void *ctx, uint64_t call, bool answered, const struct ticket *ticket,
@@ -31,29 +33,33 @@
 		g_strlcpy(e->ticket, ticket[0].ticket, sizeof(e->ticket));
 }
 
-static void on_append_requested(void *ctx, struct peer *p, const Cell__AppendAsk *ask)
+static void on_append_requested(void *ctx, uint64_t link, const Cell__AppendAsk *ask)
 {
 	struct endpoint *e = ctx;
 
 	e->appended++;
-	links_reply_append(e->links, p, ask->call,
+	e->last_link = link;
+	e->last_call = ask->call;
+	if (e->ignores_orders)
+		return;
+	links_reply_append(e->links, link, ask->call,
 			   e->refuses_appends		   ? STORE_REFUSED
 			   : g_str_equal(ask->key, "good") ? STORE_OK
 			   : g_str_equal(ask->key, "bad")  ? STORE_REFUSED
 							   : STORE_UNKNOWN);
 }
 
-static void on_order_received(void *ctx, const Kw__Envelope *m)
+static void on_order_received(void *ctx, uint64_t link, const Kw__Envelope *m)
 {
 	struct endpoint *e = ctx;
 
 	if (!e->ignores_orders)
-		relay_handle_order(e->relay, m);
+		relay_handle_order(e->relay, link, m);
 }
 
-static void on_order_replied(void *ctx, const Kw__Envelope *m)
+static void on_order_replied(void *ctx, const struct peer *p, const Kw__Envelope *m)
 {
-	relay_handle_reply(((struct endpoint *)ctx)->relay, m);
+	relay_handle_reply(((struct endpoint *)ctx)->relay, p, m);
 }
 
 static void on_peer_lost(void *ctx, const struct peer *p)
--- a/tests/node/endpoint.h
+++ b/tests/node/endpoint.h
@@ -18,8 +18,11 @@
 	uint32_t asked;
 	uint32_t advised;
 	uint32_t appended;
+	/* Last request received: the link on which it came, and its number. */
+	uint64_t last_link;
+	uint64_t last_call;
 	bool answered;
-	bool ignores_orders;  /* neither executes orders nor answers requests for advice */
+	bool ignores_orders;  /* executes no orders and answers no requests */
 	bool refuses_appends; /* of any record */
 	bool store_down;      /* as the scheduler, it does not reach the store */
 	char ticket[16];
--- a/tests/node/test_advisor_queue.c
+++ b/tests/node/test_advisor_queue.c
@@ -22,7 +22,7 @@
 
 static const struct advisor_ops advisor_ops = { .ask = on_ask };
 
-static void on_advice_done(void *ctx, uint64_t call, bool remote, bool answered,
+static void on_advice_done(void *ctx, uint64_t call, uint64_t link, bool answered,
 			   const struct ticket *ticket, size_t n, uint32_t validity_ms)
 {
 	struct fake_advisor *a = ctx;
@@ -40,7 +40,7 @@
 	struct advisor_queue *q = advisor_queue_create(&advisor, on_advice_done, &a);
 
 	for (uint64_t call = 1; call <= 3; call++)
-		advisor_queue_ask(q, call, true, "s", names, 1, 100);
+		advisor_queue_ask(q, call, 7, "s", names, 1, 100);
 	cr_assert_eq(a.sent, 1);
 	cr_assert_eq(advisor_queue_load_us(q), 300);
 	a.fn(a.ctx, true, NULL, 0, 0);
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -217,6 +217,77 @@
 	endpoint_close(&a);
 }
 
+/*
+ * Guards against advice for the wrong step: a node answers a request of an earlier scheduler after
+ * it has linked to the next one, which has a request with the same number.
+ */
+Test(links, advice_for_an_earlier_scheduler_is_not_delivered)
+{
+	const char *const names[] = { "r1" };
+	const struct ticket ticket = { .runner = "r1", .ticket = "paper" };
+	struct endpoint before = { 0 };
+	struct endpoint after = { 0 };
+	struct endpoint node = { .ignores_orders = true };
+	uint64_t link;
+
+	endpoint_open(&before, "before");
+	endpoint_open(&after, "after");
+	endpoint_open(&node, "b");
+	endpoint_link(&before, &node, endpoint_listen(&before), 9);
+	cr_assert(links_request_advice(before.links, 1, "s1", names, 1, 1000, 5000));
+	endpoint_run_until(&node.asked, 1);
+	link = node.last_link;
+	endpoint_link(&after, &node, endpoint_listen(&after), 10);
+	cr_assert(links_request_advice(after.links, 1, "s2", names, 1, 1000, 5000));
+	endpoint_run_until(&node.asked, 2);
+	links_reply_advice(node.links, link, 1, true, &ticket, 1, 2000);
+	endpoint_run_for(200);
+	cr_expect_eq(after.advised, 0, "the advice for s1 was delivered as that for s2");
+	endpoint_close(&node);
+	endpoint_close(&after);
+	endpoint_close(&before);
+}
+
+/*
+ * Guards against a job that is reported as stored though it is not: the scheduler answers an
+ * append of a node that has gone to one that has linked since and waits for an append of the same
+ * number.
+ */
+Test(links, reply_to_an_append_of_a_lost_node_is_dropped)
+{
+	struct endpoint a = { .ignores_orders = true };
+	struct endpoint b = { 0 };
+	struct endpoint c = { 0 };
+	struct reply r = { 0 };
+	uint16_t port;
+	uint64_t link;
+
+	endpoint_open(&a, "a");
+	endpoint_open(&b, "b");
+	endpoint_open(&c, "b");
+	port = endpoint_listen(&a);
+	endpoint_link(&a, &b, port, 9);
+	cr_assert(links_request_append(b.links, "good", (const uint8_t *)"x", 1, 60000,
+				       on_append_reply, &r));
+	endpoint_run_until(&a.appended, 1);
+	link = a.last_link;
+	endpoint_close(&b);
+	endpoint_run_until(&r.n, 1);
+	while (a.peers)
+		g_main_context_iteration(NULL, TRUE);
+	endpoint_link(&a, &c, port, 9);
+	cr_assert(links_request_append(c.links, "good", (const uint8_t *)"x", 1, 60000,
+				       on_append_reply, &r));
+	endpoint_run_until(&a.appended, 2);
+	cr_expect_neq(a.last_link, link, "numbers of links are not reused");
+	cr_expect_eq(a.last_call, 1, "both nodes count their calls from 1");
+	links_reply_append(a.links, link, 1, STORE_OK);
+	endpoint_run_for(200);
+	cr_expect_eq(r.n, 1, "the answer to the lost node was delivered to the other one");
+	endpoint_close(&c);
+	endpoint_close(&a);
+}
+
 Test(links, advice_of_a_lost_node_counts_as_not_answered)
 {
 	const char *const names[] = { "r1" };
