node: begin a term only after its own fence and read

What callers saw: tasks started again after their end, and failed tasks after all their attempts (rules TWICE and BUDGET), possible after a node lost the scheduler's role and got it back within the time of one call to the store, as happens while the store is slow or loses answers.

Cause: joblog_begin_term() fences the store and then reads the log. Neither the answer to the fence nor the end of the read was matched to the term. When an earlier term of the same process still waited for one of them, its answer let the new term begin: before the new fence was stored, and on a read that may have been served before it. The scheduler in between could still store progress, and the new one never read it. It started with runs as live that had ended, whose ends had been acknowledged to the runners and were listed nowhere any more, and took them for lost. A late "fenced" answer to the earlier fence ended the new term instead.

Ruled out: batches of progress are matched by term already; a late append of an older epoch is refused by the store.

Change: the fence and the read carry the log's term with them, and are ignored unless that term is the one being begun. A read for the new term starts after its fence was answered, since a refresh that is in progress by then is followed by another one.

--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -24,6 +24,12 @@
 	int64_t sent_ms;
 };
 
+/* The fence of a term, then the read after it. Their results are ignored if the term is over. */
+struct term_call {
+	struct joblog *log;
+	uint64_t term;
+};
+
 static void on_changed(void *ctx, struct cell_job *job)
 {
 	struct joblog *j = ctx;
@@ -182,13 +188,10 @@
 	joblog_append(j, id, NULL, 0, deadline_ms, on_deleted, j);
 }
 
-static void on_term_read(void *ctx, enum store_result result)
+static void end_fencing(struct joblog *j, enum store_result result)
 {
-	struct joblog *j = ctx;
 	joblog_done_fn fn = j->term_begun_fn;
 
-	if (!j->fencing)
-		return;
 	j->fencing = false;
 	j->leading = result == STORE_OK;
 	j->term_begun_fn = NULL;
@@ -199,31 +202,44 @@
 		fn(j->term_begun_ctx, result);
 }
 
+static bool is_fencing(const struct term_call *call)
+{
+	return call->log->fencing && call->term == call->log->term;
+}
+
+static void on_term_read(void *ctx, enum store_result result)
+{
+	g_autofree struct term_call *call = ctx;
+
+	if (is_fencing(call))
+		end_fencing(call->log, result);
+}
+
 static void on_fenced(void *ctx, enum store_result result, uint64_t offset)
 {
-	struct joblog *j = ctx;
+	g_autofree struct term_call *call = ctx;
+	struct joblog *j = call->log;
 
-	if (!j->fencing)
-		return;
-	if (result == STORE_OK || result == STORE_OUT_OF_SEQUENCE) {
-		joblog_refresh(j, on_term_read, j);
+	if (!is_fencing(call))
 		return;
-	}
-	if (result == STORE_FENCED) {
-		on_term_read(j, result);
-		return;
-	}
-	j->fence_due_ms = node_now_ms() + RETRY_MS;
+	if (result == STORE_OK || result == STORE_OUT_OF_SEQUENCE)
+		joblog_refresh(j, on_term_read, g_steal_pointer(&call));
+	else if (result == STORE_FENCED)
+		end_fencing(j, result);
+	else
+		j->fence_due_ms = node_now_ms() + RETRY_MS;
 }
 
 static void send_fence(struct joblog *j)
 {
 	struct append_cond cond = { .producer = PRODUCER, .epoch = j->term };
+	struct term_call *call = g_new(struct term_call, 1);
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
 
+	*call = (struct term_call){ .log = j, .term = j->term };
 	j->fence_due_ms = INT64_MAX;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, none, &cond, APPEND_MAX_MS,
-			     on_fenced, j);
+			     on_fenced, call);
 }
 
 void joblog_begin_term(struct joblog *j, uint64_t term, joblog_done_fn fn, void *ctx)
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -363,6 +363,16 @@
 	}
 }
 
+void fake_delay_appends(struct fake_client *c)
+{
+	for (guint i = 0; i < c->call->len; i++) {
+		struct call *call = c->call->pdata[i];
+
+		if (call->kind == CALL_APPEND && !call->computed)
+			call->held = true;
+	}
+}
+
 void fake_release_appends(struct fake_client *c)
 {
 	for (guint i = 0; i < c->call->len; i++)
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -40,6 +40,8 @@
  * fake_release_appends().
  */
 void fake_hold_appends(struct fake_client *c);
+/* fake_delay_appends - executes the queued appends only after fake_release_appends(). */
+void fake_delay_appends(struct fake_client *c);
 void fake_release_appends(struct fake_client *c);
 /* fake_add_record - adds a record as another client would. */
 void fake_add_record(struct fake_log *l, const char *topic, uint32_t part, const char *key,
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -420,3 +420,76 @@
 	cr_assert_null(job_table_find(joblog_job_table(f.joblog), ID));
 	teardown(&f);
 }
+
+static uint32_t last_run(struct fixture *f)
+{
+	const struct cell_job *j = job_table_find(joblog_job_table(f->joblog), ID);
+
+	return j ? j->task[0].last_run : 0;
+}
+
+static void write_run(struct fixture *f, uint64_t batch, uint32_t run)
+{
+	joblog_write(f->joblog, batch, progress_batch(JOB_RUNNING, run));
+}
+
+enum earlier_term {
+	EARLIER_FENCE_ANSWERED,	 /* its fence has taken effect, the answer is late */
+	EARLIER_FENCE_REFUSED,	 /* the same, but another scheduler had fenced it */
+	EARLIER_READ_UNFINISHED, /* the fence was answered, the read that follows it was not */
+};
+
+/*
+ * A node that loses the role and gets it back within the time of a call to the store. What the
+ * earlier term waited for was taken for the fence or the read of the new one, so the scheduler
+ * began before it had fenced the scheduler in between, and never read that one's last batches:
+ * ended tasks were started again (rules TWICE and BUDGET).
+ */
+Test(joblog, term_begins_after_its_own_fence_and_read)
+{
+	static const enum earlier_term cases[] = { EARLIER_FENCE_ANSWERED, EARLIER_FENCE_REFUSED,
+						   EARLIER_READ_UNFINISHED };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_log *log = fake_log_create();
+		struct fixture f = { 0 };
+		struct fixture other = { 0 };
+
+		setup(&f, log);
+		setup(&other, log);
+		submit(&other, 2000);
+		advance(&other, 100);
+		advance(&f, 100);
+		if (cases[i] == EARLIER_FENCE_REFUSED)
+			begin_term(&other, 6);
+		joblog_begin_term(f.joblog, 5, on_result, &f);
+		if (cases[i] == EARLIER_READ_UNFINISHED) {
+			fake_hold_reads(f.client, TOPIC, JOBLOG_JOBS);
+			advance(&f, 40);
+		} else {
+			fake_hold_appends(f.client);
+		}
+		joblog_end_term(f.joblog);
+		if (cases[i] != EARLIER_FENCE_REFUSED)
+			begin_term(&other, 6);
+		write_run(&other, 1, 1);
+		advance(&other, 40);
+		f.results = 0;
+		fake_release_reads(f.client, TOPIC, JOBLOG_JOBS);
+		fake_release_appends(f.client);
+		joblog_begin_term(f.joblog, 7, on_result, &f);
+		fake_delay_appends(f.client);
+		advance(&f, 1000);
+		cr_expect_eq(f.results, 0, "case %zu: begun before its fence", i);
+		write_run(&other, 2, 2);
+		advance(&other, 40);
+		cr_expect_eq(other.written, 2, "case %zu", i);
+		fake_release_appends(f.client);
+		advance(&f, 100);
+		cr_expect_eq(f.results, 1, "case %zu", i);
+		cr_expect_eq(f.result, STORE_OK, "case %zu", i);
+		cr_expect_eq(last_run(&f), 2, "case %zu", i);
+		teardown(&other);
+		teardown(&f);
+	}
+}
