node: read both partitions again after a reload before a refresh ends

What callers saw: a known job can be answered with 410 (rules LOST, MIXED) when the log is loaded again, after the node lost the scheduler's role or the log was trimmed, while the request waits for a refresh.

Cause: joblog_reader_reset() left end_seen set, so a partition that had been read to its end before the reload counted as read for the refresh in progress, although its records had been discarded.

A new scheduler is not affected on its own, since its refresh begins after the reload.

Change: a reset reader has not seen the end. The fake store can now hold back the first pages of a load as well as reads.

--- a/packages/node/process/joblog_read.c
+++ b/packages/node/process/joblog_read.c
@@ -15,6 +15,7 @@
 {
 	r->generation++;
 	r->reading = false;
+	r->end_seen = false;
 	r->next_offset = 0;
 	r->resume_offset = 0;
 	r->due_ms = 0;
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -382,7 +382,7 @@
 /* A held read is answered with the log as of its first serving. */
 static bool is_held(struct fake_client *c, const struct part *p, struct call *call)
 {
-	if (call->kind != CALL_READ)
+	if (call->kind == CALL_APPEND)
 		return call->held;
 	if (!g_hash_table_contains(c->held, call->part_key))
 		return false;
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -493,3 +493,32 @@
 		teardown(&f);
 	}
 }
+
+/*
+ * The log is loaded again while a caller's request waits for a refresh. What had been read before
+ * the reload counted for the refresh, so the caller was told that a known job is unknown (410,
+ * rules LOST and MIXED).
+ */
+Test(joblog, refresh_reads_everything_again_after_a_reload)
+{
+	struct fixture f = { 0 };
+
+	setup(&f, fake_log_create());
+	submit(&f, 2000);
+	advance(&f, 100);
+	f.results = 0;
+	fake_hold_reads(f.client, TOPIC, JOBLOG_PROGRESS);
+	joblog_refresh(f.joblog, on_result, &f);
+	advance(&f, 40);
+	cr_assert_eq(f.results, 0);
+	joblog_end_term(f.joblog);
+	fake_hold_reads(f.client, TOPIC, JOBLOG_JOBS);
+	fake_release_reads(f.client, TOPIC, JOBLOG_PROGRESS);
+	advance(&f, 100);
+	cr_expect_eq(f.results, 0, "the jobs have not been read again");
+	fake_release_reads(f.client, TOPIC, JOBLOG_JOBS);
+	advance(&f, 100);
+	cr_expect_eq(f.results, 1);
+	cr_expect_not_null(job_table_find(joblog_job_table(f.joblog), ID));
+	teardown(&f);
+}
