node: delete the progress of an expired job only after the job

Cause: joblog_delete() queued the deletion of the job's progress at once, and that of the job's own record in another partition. If the store refused or lost the latter, or the scheduler was replaced in between, the log held the job without its progress, and the next scheduler that loaded the log took it for a new one. "Retrying later" only helped while the same scheduler went on.

The fake store's first pages listed all records instead of the newest of each key, which hid it; they now list what the platform lists.

Change: the progress is deleted once the job's own record is known to be deleted. A scheduler that is replaced before that leaves a progress record without a job, which is never applied to anything.

--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -30,6 +30,12 @@
 	uint64_t term;
 };
 
+/* The deletion of a job's own record. */
+struct deletion {
+	struct joblog *log;
+	char id[JOB_ID_LEN + 1];
+};
+
 static void on_changed(void *ctx, struct cell_job *job)
 {
 	struct joblog *j = ctx;
@@ -172,20 +178,35 @@
 		g_ptr_array_add(j->progress_deletes, g_strdup_printf("%s/p", id));
 }
 
-static void on_deleted(void *ctx, enum store_result result)
+static void on_cancel_deleted(void *ctx, enum store_result result)
 {
+}
+
+/*
+ * Without its progress the job would be taken for a new one, so the progress stays until the job is
+ * known to be deleted.
+ */
+static void on_job_deleted(void *ctx, enum store_result result)
+{
+	struct deletion *d = ctx;
+
 	if (result != STORE_OK)
 		log_info("drop", NULL, "an expired job was not deleted; retrying later");
+	else if (d->log->leading)
+		g_ptr_array_add(d->log->progress_deletes, g_strdup_printf("%s/p", d->id));
+	g_free(d);
 }
 
 void joblog_delete(struct joblog *j, const char *id)
 {
 	int64_t deadline_ms = node_now_ms() + APPEND_MAX_MS;
 	g_autofree char *cancel = g_strdup_printf("%s/c", id);
+	struct deletion *d = g_new(struct deletion, 1);
 
-	g_ptr_array_add(j->progress_deletes, g_strdup_printf("%s/p", id));
-	joblog_append(j, cancel, NULL, 0, deadline_ms, on_deleted, j);
-	joblog_append(j, id, NULL, 0, deadline_ms, on_deleted, j);
+	d->log = j;
+	g_strlcpy(d->id, id, sizeof(d->id));
+	joblog_append(j, cancel, NULL, 0, deadline_ms, on_cancel_deleted, j);
+	joblog_append(j, id, NULL, 0, deadline_ms, on_job_deleted, d);
 }
 
 static void end_fencing(struct joblog *j, enum store_result result)
--- a/packages/node/process/joblog.h
+++ b/packages/node/process/joblog.h
@@ -65,8 +65,8 @@
  */
 void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records);
 /*
- * joblog_delete - deletes all records of a job; its progress is deleted with the next batch that
- * the scheduler writes.
+ * joblog_delete - deletes all records of a job. Its progress is deleted last, with the next batch
+ * that the scheduler writes once the job's own record is deleted.
  */
 void joblog_delete(struct joblog *j, const char *id);
 
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -291,6 +291,17 @@
 	return STORE_OK;
 }
 
+/* Whether the record is the newest one of its key, and not a deletion. */
+static bool is_newest(const struct part *p, uint64_t i, uint64_t end)
+{
+	const struct rec *r = &g_array_index(p->rec, struct rec, i);
+
+	for (uint64_t k = i + 1; k < end; k++)
+		if (g_strcmp0(g_array_index(p->rec, struct rec, k).key, r->key) == 0)
+			return false;
+	return r->size > 0;
+}
+
 static void answer_page(struct part *p, struct call *call, uint64_t from, uint64_t end)
 {
 	g_autofree struct store_record *rec = g_new0(struct store_record, p->rec->len + 1);
@@ -299,6 +310,8 @@
 	for (uint64_t i = from; i < end; i++) {
 		const struct rec *r = &g_array_index(p->rec, struct rec, i);
 
+		if (call->kind == CALL_NEWEST && !is_newest(p, i, end))
+			continue;
 		rec[page.n++] = (struct store_record){
 			.offset = i, .key = r->key, .value = r->value, .size = r->size
 		};
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -522,3 +522,44 @@
 	cr_expect_not_null(job_table_find(joblog_job_table(f.joblog), ID));
 	teardown(&f);
 }
+
+/*
+ * The store refuses the deletion of an ended job, but stores that of its progress. The next
+ * scheduler found a job that had never run, and ran it again (rules TWICE and BUDGET).
+ */
+Test(joblog, progress_is_deleted_only_after_its_job)
+{
+	static const bool refused[] = { true, false };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
+		struct fake_log *log = fake_log_create();
+		struct fixture f = { 0 };
+		struct fixture next = { 0 };
+		const struct cell_job *j;
+
+		setup(&f, log);
+		submit(&f, 2000);
+		advance(&f, 100);
+		begin_term(&f, 5);
+		joblog_write(f.joblog, 1, progress_batch(JOB_FAILED, 3));
+		advance(&f, 40);
+		fake_set_mode(f.client, refused[i] ? FAKE_REFUSES : FAKE_OK);
+		joblog_delete(f.joblog, ID);
+		advance(&f, 1000);
+		fake_set_mode(f.client, FAKE_OK);
+		joblog_write(f.joblog, 2, g_ptr_array_new());
+		advance(&f, 200);
+		cr_assert_eq(f.written, 2);
+		setup(&next, log);
+		advance(&next, 100);
+		begin_term(&next, 6);
+		j = job_table_find(joblog_job_table(next.joblog), ID);
+		cr_expect_eq(j != NULL, refused[i], "case %zu", i);
+		if (j)
+			cr_expect_eq(j->state, JOB_FAILED, "it would run again");
+		cr_expect_eq(job_table_size(joblog_job_table(next.joblog)), refused[i],
+			     "case %zu: its progress has to be deleted too", i);
+		teardown(&next);
+		teardown(&f);
+	}
+}
