cell: a run that the runner has listed is not inherited any more

Cause: a run of an earlier scheduler that is in neither list of a runner is gone once stop_ms have passed since the first answer, as only the earlier scheduler can have stopped it. This stopped being true when the runner had listed it, but `inherited` was cleared in lose_missing(), which is left out when a reply holds as many ends as the platform lists. If the new scheduler stopped the run then, the next reply seemed to prove that it was gone, up to stop_ms too early.

Evidence: the new test, before the change: test_takeover.c:287: it may take 900 ms to stop Found by reading.

Change: `inherited` is cleared where the run is seen in the list.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -156,6 +156,7 @@
 		return;
 	}
 	r->listed = true;
+	r->inherited = false;
 	if (r->state != RUN_CONFIRMED) {
 		r->state = RUN_CONFIRMED;
 		r->confirmed_ms = s->now_ms;
@@ -193,8 +194,6 @@
 
 		if (proven_gone(s, r, sent_ms))
 			scheduler_lose_run(s, r);
-		else if (r->listed)
-			r->inherited = false;
 	}
 }
 
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -217,3 +217,38 @@
 	cr_assert_eq(f->stop->len, 1);
 	fixture_destroy(f);
 }
+
+/*
+ * A runner lists as many ends as fit, and the first reply after a takeover shows a run of the
+ * earlier scheduler as running. It is then stopped, and may be in neither list for stop_ms. It was
+ * taken for one that the earlier scheduler had stopped, and its place was filled (rule LIMIT).
+ */
+Test(scheduler, takeover_waits_for_a_run_that_it_stops_itself)
+{
+	enum { ENDS = 500 };
+	struct fixture *f = fixture_default(1, 1000);
+	const struct poll_running row = { .task = ID_A ".0.0.0", .run = 1, .checkpoint = "" };
+	struct poll_ended *end = g_new0(struct poll_ended, ENDS);
+
+	for (uint64_t i = 0; i < ENDS; i++)
+		end[i] = (struct poll_ended){
+			.seq = i + 1, .task = "00000000000000ff.0.0.0", .run = 1, .checkpoint = ""
+		};
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 600));
+	fixture_advance(f, 1);
+	restart_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_advance(f, 1);
+	fixture_poll_answer(f, "r0", &row, 1, end, ENDS);
+	fixture_advance(f, 995);
+	fixture_cancel(f, ID_A);
+	fixture_advance(f, 1);
+	cr_assert_eq(f->stop->len, 1);
+	fixture_poll_lost(f, "r0");
+	fixture_advance(f, 10);
+	fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+	cr_expect_not_null(fixture_find_job(f, ID_A)->task[0].live_run,
+			   "it may take 900 ms to stop");
+	g_free(end);
+	fixture_destroy(f);
+}
