cell: inherit the runs of tasks that are done as well

Cause: a done task can still have a run: an older run listed its end as done while a newer one was live, or a member of a gang ended and the others have not been heard of yet. The log holds such a run, but inherit_run() skipped done tasks. The next scheduler counted the place as free at once, and stopped the run only if the runner listed it as running, which it need not do for a run that is being stopped.

Evidence: the new test, before the change: test_takeover.c:282: no room yet test_takeover.c:283: the redundant run is stopped Found by reading.

Change: these runs are inherited too, as runs to be stopped. They are freed like others, once their end is listed or they are proven gone.

--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -78,7 +78,7 @@
 	struct cell_runner *rn;
 	struct run *r;
 
-	if (t->done || !*t->runner || t->task >= j->n_task)
+	if (!*t->runner || t->task >= j->n_task)
 		return;
 	rn = g_hash_table_lookup(s->runners, t->runner);
 	if (!rn) {
@@ -98,6 +98,9 @@
 	r->inherited = true;
 	cell_runner_add_run(rn, r);
 	runs_attach(j, r);
+	/* An earlier run has finished the task. */
+	if (t->done)
+		scheduler_stop_run(s, r);
 }
 
 static void inherit_job(void *ctx, struct cell_job *j)
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -252,3 +252,39 @@
 	g_free(end);
 	fixture_destroy(f);
 }
+
+/*
+ * An earlier run finished its task after all, and the newer one is being stopped when the scheduler
+ * is replaced. The next one didn't count that run, and filled its place (rule LIMIT).
+ */
+Test(scheduler, takeover_keeps_the_place_of_a_redundant_run)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
+	Cell__TaskProgress *rows[] = { &t };
+	struct fixture *f = fixture_create();
+	uint8_t buf[256];
+
+	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 2, 600));
+	t.run = 2;
+	t.done = true;
+	t.runner = "r0";
+	t.born_ms = 1000;
+	m.state = JOB_RUNNING;
+	m.task = rows;
+	m.n_task = 1;
+	job_table_apply(f->jobs, ID_A "/p", buf, cell__progress__pack(&m, buf));
+	fixture_start_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_poll_all(f);
+	fixture_advance(f, 200);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[1].last_run, 0, "no room yet");
+	cr_expect_eq(f->stop->len, 1, "the redundant run is stopped");
+	fixture_advance(f, 1000);
+	fixture_poll_all(f);
+	fixture_poll_all(f);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[0].last_run, 2);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[1].last_run, 1, "the run is gone");
+	fixture_destroy(f);
+}
