--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -217,3 +217,74 @@
 	cr_assert_eq(f->stop->len, 1);
 	fixture_destroy(f);
 }
+
+/*
+ * A runner lists as many ends as fit, and the first reply after a takeover shows a run of the
+ * earlier scheduler as running. It is then stopped, and may be in neither list for stop_ms. It was
+ * taken for one that the earlier scheduler had stopped, and its place was filled (rule LIMIT).
+ */
+Test(scheduler, takeover_waits_for_a_run_that_it_stops_itself)
+{
+	enum { ENDS = 500 };
+	struct fixture *f = fixture_default(1, 1000);
+	const struct poll_running row = { .task = ID_A ".0.0.0", .run = 1, .checkpoint = "" };
+	struct poll_ended *end = g_new0(struct poll_ended, ENDS);
+
+	for (uint64_t i = 0; i < ENDS; i++)
+		end[i] = (struct poll_ended){
+			.seq = i + 1, .task = "00000000000000ff.0.0.0", .run = 1, .checkpoint = ""
+		};
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 600));
+	fixture_advance(f, 1);
+	restart_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_advance(f, 1);
+	fixture_poll_answer(f, "r0", &row, 1, end, ENDS);
+	fixture_advance(f, 995);
+	fixture_cancel(f, ID_A);
+	fixture_advance(f, 1);
+	cr_assert_eq(f->stop->len, 1);
+	fixture_poll_lost(f, "r0");
+	fixture_advance(f, 10);
+	fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+	cr_expect_not_null(fixture_find_job(f, ID_A)->task[0].live_run,
+			   "it may take 900 ms to stop");
+	g_free(end);
+	fixture_destroy(f);
+}
+
+/*
+ * An earlier run finished its task after all, and the newer one is being stopped when the scheduler
+ * is replaced. The next one didn't count that run, and filled its place (rule LIMIT).
+ */
+Test(scheduler, takeover_keeps_the_place_of_a_redundant_run)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
+	Cell__TaskProgress *rows[] = { &t };
+	struct fixture *f = fixture_create();
+	uint8_t buf[256];
+
+	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 2, 600));
+	t.run = 2;
+	t.done = true;
+	t.runner = "r0";
+	t.born_ms = 1000;
+	m.state = JOB_RUNNING;
+	m.task = rows;
+	m.n_task = 1;
+	job_table_apply(f->jobs, ID_A "/p", buf, cell__progress__pack(&m, buf));
+	fixture_start_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_poll_all(f);
+	fixture_advance(f, 200);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[1].last_run, 0, "no room yet");
+	cr_expect_eq(f->stop->len, 1, "the redundant run is stopped");
+	fixture_advance(f, 1000);
+	fixture_poll_all(f);
+	fixture_poll_all(f);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[0].last_run, 2);
+	cr_expect_eq(fixture_find_job(f, ID_A)->task[1].last_run, 1, "the run is gone");
+	fixture_destroy(f);
+}
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -291,6 +291,17 @@
 	return STORE_OK;
 }
 
+/* Whether the record is the newest one of its key, and not a deletion. */
+static bool is_newest(const struct part *p, uint64_t i, uint64_t end)
+{
+	const struct rec *r = &g_array_index(p->rec, struct rec, i);
+
+	for (uint64_t k = i + 1; k < end; k++)
+		if (g_strcmp0(g_array_index(p->rec, struct rec, k).key, r->key) == 0)
+			return false;
+	return r->size > 0;
+}
+
 static void answer_page(struct part *p, struct call *call, uint64_t from, uint64_t end)
 {
 	g_autofree struct store_record *rec = g_new0(struct store_record, p->rec->len + 1);
@@ -299,6 +310,8 @@
 	for (uint64_t i = from; i < end; i++) {
 		const struct rec *r = &g_array_index(p->rec, struct rec, i);
 
+		if (call->kind == CALL_NEWEST && !is_newest(p, i, end))
+			continue;
 		rec[page.n++] = (struct store_record){
 			.offset = i, .key = r->key, .value = r->value, .size = r->size
 		};
@@ -363,6 +376,16 @@
 	}
 }
 
+void fake_delay_appends(struct fake_client *c)
+{
+	for (guint i = 0; i < c->call->len; i++) {
+		struct call *call = c->call->pdata[i];
+
+		if (call->kind == CALL_APPEND && !call->computed)
+			call->held = true;
+	}
+}
+
 void fake_release_appends(struct fake_client *c)
 {
 	for (guint i = 0; i < c->call->len; i++)
@@ -372,7 +395,7 @@
 /* A held read is answered with the log as of its first serving. */
 static bool is_held(struct fake_client *c, const struct part *p, struct call *call)
 {
-	if (call->kind != CALL_READ)
+	if (call->kind == CALL_APPEND)
 		return call->held;
 	if (!g_hash_table_contains(c->held, call->part_key))
 		return false;
