--- /dev/null
+++ b/tests/platform/test_client.c
@@ -0,0 +1,241 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "client.h"
+#include "rawserver.h"
+
+#define TIMEOUT_MS   2000
+#define SILENCE_MS   150
+#define TEXT(status) "HTTP/1.1 " status "\r\nContent-Length: 2\r\n\r\n{}"
+#define OK	     TEXT("200 OK")
+#define UNAVAILABLE  TEXT("503 Service Unavailable")
+#define CUT_BODY     "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
+#define CUT_CHUNK    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n{}"
+
+/* A call and what the client reported. */
+struct exchange {
+	struct raw_server *server;
+	uint32_t replies;
+	uint32_t status;
+	bool sent;
+};
+
+static void on_reply(void *ctx, const struct client_reply *reply)
+{
+	struct exchange *x = ctx;
+
+	x->replies++;
+	x->status = reply->status;
+	x->sent = reply->sent;
+}
+
+static bool is_answered(void *ctx)
+{
+	struct exchange *x = ctx;
+
+	if (x->server)
+		raw_server_serve(x->server);
+	return x->replies > 0;
+}
+
+static struct exchange call(struct client *c, struct raw_server *s, uint16_t port,
+			    const char *method, const char *text, uint32_t timeout_ms)
+{
+	g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, port);
+	g_autoptr(GBytes) body = text ? g_bytes_new_static(text, strlen(text)) : NULL;
+	struct exchange x = { .server = s };
+	struct client_call order = { .method = method,
+				     .address = address,
+				     .path = "/order",
+				     .content_type = text ? "text/plain" : NULL,
+				     .body = body,
+				     .timeout_ms = timeout_ms };
+
+	client_send(c, &order, on_reply, &x);
+	cr_assert(raw_wait_until(is_answered, &x));
+	raw_settle();
+	if (s)
+		raw_server_serve(s);
+	cr_assert_eq(x.replies, 1);
+	return x;
+}
+
+static const struct {
+	const char *name;
+	const char *method;
+	const char *body;
+} calls[] = {
+	{ "POST", "POST", "text" },
+	{ "POST without a body", "POST", "" },
+	{ "GET", "GET", NULL },
+};
+
+/*
+ * A start or an append of which a copy was refused was taken for refused, while the first copy took
+ * effect: the task ran twice.
+ */
+Test(client, request_is_not_sent_again)
+{
+	static const struct {
+		const char *name;
+		struct raw_step end;
+	} ends[] = {
+		{ "closed", { RAW_ANSWER_CLOSE, "" } },
+		{ "reset", { RAW_RESET, NULL } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ends) * G_N_ELEMENTS(calls); i++) {
+		size_t k = i % G_N_ELEMENTS(calls);
+		const char *end = ends[i / G_N_ELEMENTS(calls)].name;
+		const struct raw_step steps[] = { { RAW_ANSWER, OK },
+						  ends[i / G_N_ELEMENTS(calls)].end,
+						  { RAW_ANSWER, UNAVAILABLE } };
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		struct client *c = client_create();
+		uint16_t port = raw_server_port(s);
+		struct exchange x;
+
+		x = call(c, s, port, calls[k].method, calls[k].body, TIMEOUT_MS);
+		cr_assert_eq(x.status, 200);
+		x = call(c, s, port, calls[k].method, calls[k].body, TIMEOUT_MS);
+		cr_expect_eq(raw_server_requests(s), 2, "%s, %s: %u requests", calls[k].name, end,
+			     raw_server_requests(s));
+		cr_expect_eq(raw_server_connections(s), 1, "%s, %s: %u connections", calls[k].name,
+			     end, raw_server_connections(s));
+		cr_expect_eq(x.status, 0, "%s, %s: status %u", calls[k].name, end, x.status);
+		cr_expect(x.sent, "%s, %s: not sent", calls[k].name, end);
+		x = call(c, s, port, calls[k].method, calls[k].body, TIMEOUT_MS);
+		cr_expect_eq(x.status, 503, "%s, %s: the next call", calls[k].name, end);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
+/* Sends two calls at the same time, so that two connections are kept. */
+static void call_twice(struct client *c, struct raw_server *s)
+{
+	g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+	const struct client_call order = {
+		.method = "GET", .address = address, .path = "/order", .timeout_ms = TIMEOUT_MS
+	};
+	struct exchange first = { .server = s };
+	struct exchange second = { .server = s };
+
+	client_send(c, &order, on_reply, &first);
+	client_send(c, &order, on_reply, &second);
+	cr_assert(raw_wait_until(is_answered, &first) && raw_wait_until(is_answered, &second));
+	cr_assert(first.status == 200 && second.status == 200);
+	cr_assert_eq(raw_server_connections(s), 2);
+}
+
+/* With two kept connections, a second copy of a start could go out on the other one. */
+Test(client, request_is_not_sent_again_on_another_kept_connection)
+{
+	for (size_t k = 0; k < G_N_ELEMENTS(calls); k++) {
+		static const struct raw_step steps[] = { { RAW_ANSWER, OK },
+							 { RAW_ANSWER, OK },
+							 { RAW_RESET, NULL },
+							 { RAW_ANSWER, UNAVAILABLE } };
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		struct client *c = client_create();
+		struct exchange x;
+
+		call_twice(c, s);
+		x = call(c, s, raw_server_port(s), calls[k].method, calls[k].body, TIMEOUT_MS);
+		cr_expect_eq(raw_server_requests(s), 3, "%s: %u requests", calls[k].name,
+			     raw_server_requests(s));
+		cr_expect_eq(raw_server_connections(s), 2);
+		cr_expect_eq(x.status, 0, "%s: status %u", calls[k].name, x.status);
+		cr_expect(x.sent, "%s: not sent", calls[k].name);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
+/* A connection that closed while it was idle isn't used: nothing was sent on it. */
+Test(client, replaces_an_idle_connection_that_closed)
+{
+	static const struct raw_step steps[] = { { RAW_ANSWER, OK } };
+
+	for (size_t i = 0; i < 4 * G_N_ELEMENTS(calls); i++) {
+		bool reset = i & 1;
+		bool settle = i & 2;
+		size_t k = i / 4;
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		struct client *c = client_create();
+		uint16_t port = raw_server_port(s);
+		struct exchange x;
+
+		call(c, s, port, calls[k].method, calls[k].body, TIMEOUT_MS);
+		raw_server_close_all(s, reset);
+		if (settle)
+			raw_settle();
+		x = call(c, s, port, calls[k].method, calls[k].body, TIMEOUT_MS);
+		cr_expect_eq(x.status, 200, "%s, reset %d, settle %d: status %u", calls[k].name,
+			     reset, settle, x.status);
+		cr_expect_eq(raw_server_requests(s), 2);
+		cr_expect_eq(raw_server_connections(s), 2);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
+Test(client, keeps_connections)
+{
+	static const struct raw_step steps[] = { { RAW_ANSWER, OK } };
+	struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+	struct client *c = client_create();
+
+	for (size_t i = 0; i < 4 * G_N_ELEMENTS(calls); i++) {
+		size_t k = i % G_N_ELEMENTS(calls);
+
+		cr_expect_eq(
+			call(c, s, raw_server_port(s), calls[k].method, calls[k].body, TIMEOUT_MS)
+				.status,
+			200);
+	}
+	cr_expect_eq(raw_server_connections(s), 1);
+	client_destroy(c);
+	raw_server_destroy(s);
+}
+
+/* "Not sent" lets a task start elsewhere at once, so it has to be true. */
+Test(client, reports_whether_a_request_was_sent)
+{
+	static const struct {
+		const char *name;
+		struct raw_step step;
+		uint32_t status;
+	} cases[] = {
+		{ "no answer", { RAW_SILENT, NULL }, 0 },
+		{ "closed", { RAW_ANSWER_CLOSE, "" }, 0 },
+		{ "reset", { RAW_RESET, NULL }, 0 },
+		{ "body cut off", { RAW_ANSWER_CLOSE, CUT_BODY }, 0 },
+		{ "body late", { RAW_ANSWER, CUT_BODY }, 0 },
+		{ "chunk cut off", { RAW_ANSWER_CLOSE, CUT_CHUNK }, 0 },
+		{ "answered", { RAW_ANSWER, OK }, 200 },
+		{ "refused", { RAW_ANSWER, UNAVAILABLE }, 503 },
+	};
+	uint16_t closed_port = raw_free_port();
+	struct client *c = client_create();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(calls); i++) {
+		size_t k = i % G_N_ELEMENTS(calls);
+		size_t n = i / G_N_ELEMENTS(calls);
+		struct raw_server *s = raw_server_create(&cases[n].step, 1);
+		struct exchange x;
+
+		x = call(c, s, raw_server_port(s), calls[k].method, calls[k].body, SILENCE_MS);
+		cr_expect_eq(x.status, cases[n].status, "%s, %s: status %u", cases[n].name,
+			     calls[k].name, x.status);
+		cr_expect(x.sent, "%s, %s: not sent", cases[n].name, calls[k].name);
+		cr_expect_eq(raw_server_requests(s), 1);
+		x = call(c, NULL, closed_port, calls[k].method, calls[k].body, SILENCE_MS);
+		cr_expect_eq(x.status, 0);
+		cr_expect(!x.sent, "after %s, %s: sent to a closed port", cases[n].name,
+			  calls[k].name);
+		raw_server_destroy(s);
+	}
+	client_destroy(c);
+}
--- /dev/null
+++ b/tests/platform/test_orders.c
@@ -0,0 +1,123 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "orders.h"
+#include "rawserver.h"
+
+#define TIMEOUT_MS 2000
+#define REPLY(status, body)                                                                        \
+	"HTTP/1.1 " status "\r\nConnection: close\r\nContent-Type: application/json\r\n\r\n" body
+/* A reply after which the connection is kept: its length is 19 bytes. */
+#define KEPT(status) "HTTP/1.1 " status "\r\nContent-Length: 19\r\n\r\n{\"time-ms\":1234567}"
+
+/* What was reported of one order. */
+struct outcome {
+	struct raw_server *server;
+	uint32_t replies;
+	enum start_result started;
+};
+
+static void on_started(void *ctx, enum start_result result)
+{
+	struct outcome *o = ctx;
+
+	o->replies++;
+	o->started = result;
+}
+
+static bool is_answered(void *ctx)
+{
+	struct outcome *o = ctx;
+
+	raw_server_serve(o->server);
+	return o->replies > 0;
+}
+
+static struct outcome start(struct client *c, struct raw_server *s)
+{
+	g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+	const struct start_order order = { .runner = "i-1",
+					   .address = address,
+					   .task = "5c0e7a21d94b36f8.0.0.0",
+					   .payload = "x",
+					   .run = 1,
+					   .deadline_ms = 1000,
+					   .timeout_ms = TIMEOUT_MS };
+	struct outcome o = { .server = s };
+
+	orders_ops.start(c, &order, 1, on_started, &o);
+	cr_assert(raw_wait_until(is_answered, &o));
+	return o;
+}
+
+/* A task ran twice: a start was called refused although only a second copy of it was. */
+Test(orders, start_on_a_lost_connection_is_unknown)
+{
+	static const struct {
+		const char *name;
+		struct raw_step end;
+		const char *refusal;
+	} cases[] = {
+		{ "closed, then unhealthy", { RAW_ANSWER_CLOSE, "" }, KEPT("503 Unavailable") },
+		{ "reset, then unhealthy", { RAW_RESET, NULL }, KEPT("503 Unavailable") },
+		{ "reset, then a conflict", { RAW_RESET, NULL }, KEPT("409 Conflict") },
+		{ "reset, then another runner", { RAW_RESET, NULL }, KEPT("421 Misdirected") },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct raw_step steps[] = { { RAW_ANSWER, KEPT("200 OK") },
+						  cases[i].end,
+						  { RAW_ANSWER, cases[i].refusal } };
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		struct client *c = client_create();
+		struct outcome o;
+
+		cr_assert_eq(start(c, s).started, START_OK);
+		o = start(c, s);
+		cr_expect_eq(o.started, START_UNKNOWN, "%s: result %d", cases[i].name, o.started);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
+Test(orders, results_of_a_start)
+{
+	static const struct {
+		const char *reply;
+		enum start_result result;
+	} cases[] = {
+		{ REPLY("200 OK", "{\"time-ms\":5}"), START_OK },
+		{ REPLY("409 Conflict", "{\"reason\":\"fence\"}"), START_FENCED },
+		{ REPLY("409 Conflict", "{\"reason\":\"old\"}"), START_STALE_RUN },
+		{ REPLY("409 Conflict", "{\"reason\":\"late\"}"), START_LEASE_EXPIRED },
+		{ REPLY("409 Conflict", "{\"reason\":\"room\"}"), START_NO_ROOM },
+		{ REPLY("409 Conflict", "{\"reason\":\"ticket\"}"), START_BAD_TICKET },
+		{ REPLY("400 Bad Request", "{}"), START_REFUSED },
+		{ REPLY("421 Misdirected Request", "{}"), START_REFUSED },
+		{ REPLY("429 Too Many Requests", "{}"), START_REFUSED },
+		{ REPLY("503 Service Unavailable", "{}"), START_REFUSED },
+		{ REPLY("500 Internal Server Error", "{}"), START_UNKNOWN },
+		{ REPLY("502 Bad Gateway", "{}"), START_UNKNOWN },
+		{ REPLY("504 Gateway Timeout", "{}"), START_UNKNOWN },
+		{ REPLY("302 Found", "{}"), START_UNKNOWN },
+		{ "HTTP/1.1 100 Continue\r\n\r\n", START_UNKNOWN },
+		{ "HTTP/1.1 102 Processing\r\n\r\n", START_UNKNOWN },
+		{ "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\n{}",
+		  START_UNKNOWN },
+		{ "garbage\r\n\r\n", START_UNKNOWN },
+		{ "", START_UNKNOWN },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct raw_step step = { RAW_ANSWER_CLOSE, cases[i].reply };
+		struct raw_server *s = raw_server_create(&step, 1);
+		struct client *c = client_create();
+		struct outcome o = start(c, s);
+
+		cr_expect_eq(o.started, cases[i].result, "%s: result %d", cases[i].reply,
+			     o.started);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
--- /dev/null
+++ b/tests/platform/test_store.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "rawserver.h"
+#include "store.h"
+
+#define TIMEOUT_MS	2000
+#define APPENDED	"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":7}"
+#define REFUSED(status) "HTTP/1.1 " status "\r\nContent-Length: 2\r\n\r\n{}"
+
+/* What was reported of one append. */
+struct outcome {
+	struct raw_server *server;
+	uint32_t replies;
+	enum store_result result;
+	uint64_t offset;
+};
+
+static void on_appended(void *ctx, enum store_result result, uint64_t offset)
+{
+	struct outcome *o = ctx;
+
+	o->replies++;
+	o->result = result;
+	o->offset = offset;
+}
+
+static bool is_answered(void *ctx)
+{
+	struct outcome *o = ctx;
+
+	raw_server_serve(o->server);
+	return o->replies > 0;
+}
+
+static struct outcome append(struct log_store *store, struct raw_server *s,
+			     const struct append_cond *cond)
+{
+	uint8_t value[] = { 1 };
+	struct log_record rec = { .value = value, .size = sizeof(value) };
+	g_autoptr(GPtrArray) records = g_ptr_array_new();
+	struct outcome o = { .server = s };
+
+	g_ptr_array_add(records, &rec);
+	log_store_ops.append(store, "topic", 0, records, cond, TIMEOUT_MS, on_appended, &o);
+	cr_assert(raw_wait_until(is_answered, &o));
+	return o;
+}
+
+/* A job ran after its caller was told that it never would: only a copy of its append was refused.
+ */
+Test(store, append_on_a_lost_connection_is_unknown)
+{
+	static const struct append_cond conds[] = {
+		{ 0 },
+		{ .check_end = true, .expected_end = 7 },
+		{ .producer = "p", .epoch = 1, .seq = 1 },
+	};
+	static const struct {
+		const char *name;
+		struct raw_step end;
+		const char *refusal;
+	} cases[] = {
+		{ "closed, then busy", { RAW_ANSWER_CLOSE, "" }, REFUSED("503 Unavailable") },
+		{ "reset, then busy", { RAW_RESET, NULL }, REFUSED("503 Unavailable") },
+		{ "reset, then too many", { RAW_RESET, NULL }, REFUSED("429 Too Many") },
+		{ "reset, then another end", { RAW_RESET, NULL }, REFUSED("412 Failed") },
+		{ "reset, then a conflict", { RAW_RESET, NULL }, REFUSED("409 Conflict") },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(conds); i++) {
+		size_t k = i / G_N_ELEMENTS(conds);
+		const struct append_cond *cond = &conds[i % G_N_ELEMENTS(conds)];
+		const struct raw_step steps[] = { { RAW_ANSWER, APPENDED },
+						  cases[k].end,
+						  { RAW_ANSWER, cases[k].refusal } };
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+		struct client *c = client_create();
+		struct log_store *store = log_store_create(c, address);
+		struct outcome o;
+
+		o = append(store, s, cond);
+		cr_assert(o.result == STORE_OK && o.offset == 7);
+		o = append(store, s, cond);
+		cr_expect_eq(o.result, STORE_UNKNOWN, "%s, condition %zu: result %d", cases[k].name,
+			     i % G_N_ELEMENTS(conds), o.result);
+		cr_expect_eq(raw_server_requests(s), 2);
+		client_destroy(c);
+		log_store_destroy(store);
+		raw_server_destroy(s);
+	}
+}
