client: a reply whose header is cut off is no reply

What callers saw: libcurl reports success, with the status and an empty body, if a connection ends after the status line but within the header. An append was then stored "at offset 0" (the election would read the log from 1 on while it hands the lease over), a 412 had the end 0, and a 409 lost its reason and became START_REFUSED.

Cause: the client promises status 0 if there was no complete reply, but took libcurl's success for that. Only a body cut off is an error there.

--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -13,6 +13,12 @@
 #define CUT_BODY     "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
 #define CUT_CHUNK    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n{}"
 
+#define CUT_STATUS "HTTP/1.1 200 O"
+#define CUT_HEADER "HTTP/1.1 200 OK\r\nContent-Le"
+#define CONTINUE   "HTTP/1.1 100 Continue\r\n\r\n"
+#define TRAILER                                                                                    \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n2\r\n{}\r\n0\r\nA: "   \
+	"b\r\n\r\n"
 /* A call and what the client reported. */
 struct exchange {
 	struct raw_server *server;
@@ -211,9 +217,14 @@
 		{ "no answer", { RAW_SILENT, NULL }, 0 },
 		{ "closed", { RAW_ANSWER_CLOSE, "" }, 0 },
 		{ "reset", { RAW_RESET, NULL }, 0 },
+		{ "status line cut off", { RAW_ANSWER_CLOSE, CUT_STATUS }, 0 },
+		{ "header cut off", { RAW_ANSWER_CLOSE, CUT_HEADER }, 0 },
+		{ "second header cut off", { RAW_ANSWER_CLOSE, CONTINUE CUT_HEADER }, 0 },
 		{ "body cut off", { RAW_ANSWER_CLOSE, CUT_BODY }, 0 },
 		{ "body late", { RAW_ANSWER, CUT_BODY }, 0 },
 		{ "chunk cut off", { RAW_ANSWER_CLOSE, CUT_CHUNK }, 0 },
+		{ "trailer", { RAW_ANSWER, TRAILER }, 200 },
+		{ "two headers", { RAW_ANSWER, CONTINUE OK }, 200 },
 		{ "answered", { RAW_ANSWER, OK }, 200 },
 		{ "refused", { RAW_ANSWER, UNAVAILABLE }, 503 },
 	};
--- a/tests/platform/test_orders.c
+++ b/tests/platform/test_orders.c
@@ -105,6 +105,9 @@
 		{ "HTTP/1.1 102 Processing\r\n\r\n", START_UNKNOWN },
 		{ "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\n{}",
 		  START_UNKNOWN },
+		{ "HTTP/1.1 503 Service Unav", START_UNKNOWN },
+		{ "HTTP/1.1 503 Service Unavailable\r\nContent-Le", START_UNKNOWN },
+		{ "HTTP/1.1 409 Conflict\r\nContent-Le", START_UNKNOWN },
 		{ "garbage\r\n\r\n", START_UNKNOWN },
 		{ "", START_UNKNOWN },
 	};
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -92,3 +92,29 @@
 		raw_server_destroy(s);
 	}
 }
+
+/* A reply whose header was cut off was taken for an append at offset 0. */
+Test(store, append_with_a_cut_off_reply_is_unknown)
+{
+	static const char *const replies[] = {
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"HTTP/1.1 412 Precondition Failed\r\nContent-Le",
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Le",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"off",
+	};
+	static const struct append_cond cond = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(replies); i++) {
+		const struct raw_step step = { RAW_ANSWER_CLOSE, replies[i] };
+		struct raw_server *s = raw_server_create(&step, 1);
+		g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+		struct client *c = client_create();
+		struct log_store *store = log_store_create(c, address);
+		struct outcome o = append(store, s, &cond);
+
+		cr_expect_eq(o.result, STORE_UNKNOWN, "%s: result %d", replies[i], o.result);
+		client_destroy(c);
+		log_store_destroy(store);
+		raw_server_destroy(s);
+	}
+}
