cell: a job has begun when a run did, not when one was planned

What callers saw: the number of waiting jobs is far too low after a takeover (rule MIXED: 50 jobs are said to wait, 114 have waited for 5 s).

Cause: a node counted a job as begun once a task had a run number in the log. The intent is stored before the start is sent, so a scheduler that is frozen or lost in between leaves jobs that have not begun, and the next one plans them again much later.

Change: the job's state in the record tells whether it has begun. A start that was answered, a run or an end that a runner lists make it so. The scheduler writes this with the next batch, or after 500 ms in a batch of its own, since the number may be 2 s old.

The test of a silent runner now acknowledges batches while it waits, as the scheduler writes one more; what it checks is the same.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -93,6 +93,7 @@
 		g_info("runner %s lists the end of unknown task %s", rn->id, end->task);
 		return;
 	}
+	scheduler_mark_started(s, j);
 	step = cell_job_step_of(j, task);
 	r = j->task[task].live_run;
 	if (r && r->number == end->run && r->runner == rn) {
@@ -160,7 +161,7 @@
 	if (r->state != RUN_CONFIRMED) {
 		r->state = RUN_CONFIRMED;
 		r->confirmed_ms = s->now_ms;
-		cell_job_mark_started(r->job);
+		scheduler_mark_started(s, r->job);
 	}
 	cell_job_set_checkpoint(r->job, r->task, row->checkpoint);
 	if (is_hung(s, r, row->usage))
--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -3,6 +3,7 @@
 /* A slow store takes 180 ms for each append, and a partition takes them one after the other. */
 #define BATCHES_MAX	 2   /* in flight; more would only queue in the store */
 #define BATCH_OVERLAP_MS 100 /* a fast store answers sooner, so one batch at a time is enough */
+#define BEGUN_WRITE_MS	 500 /* other nodes may count a job that has begun as waiting for 2 s */
 #define WRITE_WEIGHT	 4   /* the last write counts 1/4 in the moving average */
 
 void scheduler_mark_dirty(struct scheduler *s, struct cell_job *j)
@@ -13,6 +14,22 @@
 	g_ptr_array_add(s->dirty_jobs, j);
 }
 
+void scheduler_mark_started(struct scheduler *s, struct cell_job *j)
+{
+	if (j->started)
+		return;
+	cell_job_mark_started(j);
+	if (s->begun_jobs->len == 0)
+		s->begun_due_ms = s->now_ms + BEGUN_WRITE_MS;
+	g_ptr_array_add(s->begun_jobs, j);
+}
+
+/* Returns when begun jobs need a batch of their own. */
+static int64_t begun_due_ms(const struct scheduler *s)
+{
+	return s->begun_jobs->len ? s->begun_due_ms : INT64_MAX;
+}
+
 static void add_task(Cell__TaskProgress *t, const struct job_task *task, uint32_t number)
 {
 	*t = (Cell__TaskProgress)CELL__TASK_PROGRESS__INIT;
@@ -104,10 +121,13 @@
 {
 	GPtrArray *records;
 
-	if (s->dirty_jobs->len == 0)
-		return next_ms;
+	if (s->dirty_jobs->len == 0 && begun_due_ms(s) > s->now_ms)
+		return MIN(next_ms, begun_due_ms(s));
 	if (write_due_ms(s) > s->now_ms)
 		return MIN(next_ms, write_due_ms(s));
+	for (guint i = 0; i < s->begun_jobs->len; i++)
+		scheduler_mark_dirty(s, s->begun_jobs->pdata[i]);
+	g_ptr_array_set_size(s->begun_jobs, 0);
 	records = g_ptr_array_new_with_free_func(record_free);
 	for (guint i = 0; i < s->dirty_jobs->len; i++) {
 		struct cell_job *j = s->dirty_jobs->pdata[i];
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -198,7 +198,7 @@
 		r->confirmed_ms = now_ms;
 		if (!r->job->started)
 			scheduler_report_job(s, DECISION_FIRST_START, r->job);
-		cell_job_mark_started(r->job);
+		scheduler_mark_started(s, r->job);
 		r->runner->next_poll_ms = MIN(r->runner->next_poll_ms, now_ms);
 		if (r->stopping)
 			runs_send_stop(s, r);
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -107,7 +107,6 @@
 {
 	struct scheduler *s = ctx;
 
-	j->started = j->started || (j->stored_progress && j->stored_progress->n_task > 0);
 	for (size_t i = 0; j->stored_progress && i < j->stored_progress->n_task; i++)
 		inherit_run(s, j, j->stored_progress->task[i]);
 	scheduler_job_changed(s, j, s->now_ms);
@@ -166,6 +165,7 @@
 		g_clear_pointer(&j->step[i].advice, advice_destroy);
 	}
 	g_ptr_array_remove(s->open_jobs, j);
+	g_ptr_array_remove_fast(s->begun_jobs, j);
 	g_ptr_array_remove_fast(s->dirty_jobs, j);
 }
 
@@ -192,6 +192,7 @@
 	s->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_runner);
 	s->open_jobs = g_ptr_array_new();
 	s->dirty_jobs = g_ptr_array_new();
+	s->begun_jobs = g_ptr_array_new();
 	s->planned_runs = g_ptr_array_new();
 	job_table_each(jobs, inherit_job, s);
 	return s;
@@ -216,6 +217,7 @@
 		return;
 	job_table_each(s->jobs, detach_job, NULL);
 	g_ptr_array_unref(s->planned_runs);
+	g_ptr_array_unref(s->begun_jobs);
 	g_ptr_array_unref(s->dirty_jobs);
 	g_ptr_array_unref(s->open_jobs);
 	g_hash_table_unref(s->runners);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -23,12 +23,14 @@
 	GHashTable *runners;	 /* struct cell_runner by id */
 	GPtrArray *open_jobs;	 /* struct cell_job that have not ended, or have runs */
 	GPtrArray *dirty_jobs;	 /* struct cell_job to be written */
+	GPtrArray *begun_jobs;	 /* struct cell_job whose first start is not in the log yet */
 	GPtrArray *planned_runs; /* struct run with no stored intent */
 	uint32_t next_handle;
 	uint64_t last_poll_id;
 	uint64_t batch_next; /* number of the next batch */
 	uint64_t batch_acked;
 	uint32_t batches_in_flight;
+	int64_t begun_due_ms;	    /* begun_jobs are written by then */
 	int64_t batch_sent_ms;	    /* when the last batch was sent */
 	int64_t mean_write_ms;	    /* moving average of the time a write takes */
 	uint32_t advisor_clients;   /* nodes that can ask the advisor */
@@ -78,6 +80,11 @@
 
 /* scheduler_mark_dirty - the job's progress has changed and is to be written. */
 void scheduler_mark_dirty(struct scheduler *s, struct cell_job *j);
+/*
+ * scheduler_mark_started - notes that a task of the job has run. Other nodes read it in the log, to
+ * which it is written with the next batch, or soon.
+ */
+void scheduler_mark_started(struct scheduler *s, struct cell_job *j);
 /* scheduler_plan_run - reserves capacity for a run; its intent is in the next batch. */
 struct run *scheduler_plan_run(struct scheduler *s, struct cell_job *j, uint32_t task,
 			       struct cell_runner *rn, const char *ticket);
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -112,7 +112,8 @@
 	clear_progress(j);
 	j->state = j->stored_state = (enum job_state)progress->state;
 	j->ended_ms = progress->ended_ms;
-	j->started = j->started || progress->n_task > 0;
+	/* A task with a run number may have been planned only. */
+	j->started = j->started || j->state != JOB_QUEUED;
 	for (size_t i = 0; i < progress->n_task; i++) {
 		const Cell__TaskProgress *t = progress->task[i];
 
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -231,6 +231,7 @@
 	silent_ms = f->now_ms;
 	while (f->now_ms - silent_ms < 6000) {
 		fixture_advance(f, 100);
+		fixture_ack_batch(f);
 		fixture_poll_lost(f, runner);
 		fixture_poll_answer(f, g_str_equal(runner, "r0") ? "r1" : "r0", NULL, 0, NULL, 0);
 		cr_assert_not_null(fixture_find_job(f, ID_A)->task[0].live_run, "after %ld ms",
@@ -504,3 +505,32 @@
 	cr_assert_eq(f->starts, 2);
 	fixture_destroy(f);
 }
+
+/* Other nodes tell how many jobs wait, and know from the log whether a job has begun. */
+Test(scheduler, the_first_start_of_a_job_is_written_to_the_log)
+{
+	struct fixture *f = fixture_default(1, 1000);
+	Cell__Progress *m;
+	const struct log_record *r;
+
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 2, 400));
+	fixture_advance(f, 1);
+	r = f->records->pdata[0];
+	m = cell__progress__unpack(NULL, r->size, r->value);
+	cr_expect_eq(m->state, JOB_QUEUED, "no start was sent yet");
+	cell__progress__free_unpacked(m, NULL);
+	fixture_ack_batch(f);
+	fixture_accept_starts(f);
+	fixture_advance(f, 1);
+	cr_expect_eq(f->batch, 0, "it need not be written at once");
+	fixture_advance(f, 600);
+	cr_assert_not_null(f->records);
+	r = f->records->pdata[0];
+	m = cell__progress__unpack(NULL, r->size, r->value);
+	cr_expect_eq(m->state, JOB_RUNNING);
+	cell__progress__free_unpacked(m, NULL);
+	cr_expect_eq(fixture_ack_batch(f), 1);
+	fixture_advance(f, 1000);
+	cr_expect_eq(f->batch, 0, "further starts need no record of their own");
+	fixture_destroy(f);
+}
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -288,3 +288,47 @@
 	cr_expect_eq(fixture_find_job(f, ID_A)->task[1].last_run, 1, "the run is gone");
 	fixture_destroy(f);
 }
+
+enum earlier_run {
+	ONLY_PLANNED,	/* its intent is stored, the start was never sent */
+	LISTED_RUNNING, /* the runner lists it */
+	LISTED_ENDED,	/* the runner lists its end */
+};
+
+/*
+ * A scheduler that is lost after it has stored intents and before it has sent the starts. Their
+ * jobs counted as begun from then on, so that queues with 114 waiting jobs were said to have 50
+ * (rule MIXED).
+ */
+Test(scheduler, takeover_counts_jobs_as_waiting_until_a_run_began)
+{
+	static const enum earlier_run cases[] = { ONLY_PLANNED, LISTED_RUNNING, LISTED_ENDED };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = fixture_default(1, 1000);
+		const struct poll_running row = { .task = ID_A ".0.0.0",
+						  .run = 1,
+						  .checkpoint = "" };
+		const struct poll_ended end = { .seq = 1,
+						.task = ID_A ".0.0.0",
+						.run = 1,
+						.end = END_FAILED,
+						.checkpoint = "" };
+		bool began = cases[i] != ONLY_PLANNED;
+
+		fixture_submit(f, fixture_new_job(ID_A, "urgent", 2, 600));
+		fixture_advance(f, 1);
+		restart_scheduler(f);
+		cr_expect_eq(job_table_count_waiting(f->jobs, "urgent"), 1, "case %zu", i);
+		fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+		fixture_advance(f, 1);
+		fixture_poll_answer(f, "r0", &row, cases[i] == LISTED_RUNNING, &end,
+				    cases[i] == LISTED_ENDED);
+		cr_expect_eq(job_table_count_waiting(f->jobs, "urgent"), !began, "case %zu", i);
+		fixture_advance(f, 1);
+		restart_scheduler(f);
+		cr_expect_eq(job_table_count_waiting(f->jobs, "urgent"), !began,
+			     "case %zu: after another takeover", i);
+		fixture_destroy(f);
+	}
+}
