orders: a poll reply with a missing or invalid list is no reply

What callers saw: a row of a runner's lists that could not be read was left out, and the rest was used. A missing list counted as an empty one, and run numbers and numbers of ends were cast without a check (run 2^32 + 1 became run 1).

The scheduler takes a confirmed run that isn't listed for gone and starts its task again, and it acknowledges ends up to the highest number that it has processed. So a row left out of "running" is a second run of the task (TWICE), and one left out of "finished" is an end that is forgotten (TWICE, BUDGET).

The test that failed before (a raw server as the runner; "reply 1" means that the scheduler got a reply):

orders::poll_reply_that_is_not_whole_is_none no running: reply 1 with 0 running, 0 ended no finished: reply 1 with 0 running, 0 ended no list: reply 1 with 0 running, 0 ended a running row is no row: reply 1 with 1 running, 0 ended a running row has no run: reply 1 with 0 running, 0 ended run 0 / run below 0 / run 2^32 + 1: reply 1 with 1 running, 0 ended another end: reply 1 with 0 running, 1 ended no number of an end: reply 1 with 0 running, 1 ended number 0 / below 0 / run 2^32 + 1 of an end: reply 1 with 0 running, 1 ended an end is no row: reply 1 with 0 running, 1 ended

--- a/tests/platform/test_orders.c
+++ b/tests/platform/test_orders.c
@@ -11,11 +11,19 @@
 /* A reply after which the connection is kept: its length is 19 bytes. */
 #define KEPT(status) "HTTP/1.1 " status "\r\nContent-Length: 19\r\n\r\n{\"time-ms\":1234567}"
 
+#define LISTS(running, finished)                                                                   \
+	"{\"time-ms\":5,\"born\":7,\"running\":[" running "],\"finished\":[" finished "]}"
+#define RUN_ROW "[\"5c0e7a21d94b36f8.0.0.0\",1,\"\",0]"
+#define END_ROW "[1,\"5c0e7a21d94b36f8.0.0.1\",1,\"done\",\"\"]"
+
 /* What was reported of one order. */
 struct outcome {
 	struct raw_server *server;
 	uint32_t replies;
 	enum start_result started;
+	bool polled; /* there was a reply to the poll */
+	size_t n_running;
+	size_t n_ended;
 };
 
 static void on_started(void *ctx, enum start_result result)
@@ -26,6 +34,16 @@
 	o->started = result;
 }
 
+static void on_polled(void *ctx, const struct poll_reply *reply)
+{
+	struct outcome *o = ctx;
+
+	o->replies++;
+	o->polled = reply && !reply->fenced && !reply->other_incarnation;
+	o->n_running = o->polled ? reply->n_running : 0;
+	o->n_ended = o->polled ? reply->n_ended : 0;
+}
+
 static bool is_answered(void *ctx)
 {
 	struct outcome *o = ctx;
@@ -51,6 +69,19 @@
 	return o;
 }
 
+static struct outcome poll_runner(struct client *c, struct raw_server *s)
+{
+	g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+	const struct poll_order order = {
+		.runner = "i-1", .address = address, .deadline_ms = 1000, .timeout_ms = TIMEOUT_MS
+	};
+	struct outcome o = { .server = s };
+
+	orders_ops.poll(c, &order, 1, on_polled, &o);
+	cr_assert(raw_wait_until(is_answered, &o));
+	return o;
+}
+
 /* A task ran twice: a start was called refused although only a second copy of it was. */
 Test(orders, start_on_a_lost_connection_is_unknown)
 {
@@ -81,6 +112,59 @@
 	}
 }
 
+/*
+ * Of a list of which a row can't be read, the rest may not be used: a run that it doesn't list
+ * counts as gone and its task starts again, and a later end acknowledges the one that is missing.
+ */
+Test(orders, poll_reply_that_is_not_whole_is_none)
+{
+	static const struct {
+		const char *name;
+		const char *body;
+		bool polled;
+	} cases[] = {
+		{ "empty lists", LISTS("", ""), true },
+		{ "both lists", LISTS(RUN_ROW, END_ROW), true },
+		{ "no usage", LISTS("[\"5c0e7a21d94b36f8.0.0.0\",1]", ""), true },
+		{ "no running", "{\"time-ms\":5,\"born\":7,\"finished\":[]}", false },
+		{ "no finished", "{\"time-ms\":5,\"born\":7,\"running\":[]}", false },
+		{ "no list", "{\"time-ms\":5,\"born\":7,\"running\":{},\"finished\":3}", false },
+		{ "no time", "{\"born\":7,\"running\":[],\"finished\":[]}", false },
+		{ "cut off", "{\"time-ms\":5,\"born\":7,\"running\":[", false },
+		{ "empty", "", false },
+		{ "a running row is no row", LISTS(RUN_ROW ",3", ""), false },
+		{ "a running row has no run", LISTS("[\"5c0e7a21d94b36f8.0.0.0\"]", ""), false },
+		{ "run 0", LISTS("[\"5c0e7a21d94b36f8.0.0.0\",0,\"\",0]", ""), false },
+		{ "run below 0", LISTS("[\"5c0e7a21d94b36f8.0.0.0\",-1,\"\",0]", ""), false },
+		{ "run 2^32 + 1", LISTS("[\"5c0e7a21d94b36f8.0.0.0\",4294967297,\"\",0]", ""),
+		  false },
+		{ "another end",
+		  LISTS("", "[1,\"5c0e7a21d94b36f8.0.0.0\",1,\"gone\",\"\"]," END_ROW), false },
+		{ "no number of an end",
+		  LISTS("", "[\"x\",\"5c0e7a21d94b36f8.0.0.0\",1,\"done\",\"\"]," END_ROW), false },
+		{ "number 0 of an end", LISTS("", "[0,\"5c0e7a21d94b36f8.0.0.0\",1,\"done\",\"\"]"),
+		  false },
+		{ "number below 0 of an end",
+		  LISTS("", "[-1,\"5c0e7a21d94b36f8.0.0.0\",1,\"done\",\"\"]"), false },
+		{ "run 2^32 + 1 of an end",
+		  LISTS("", "[1,\"5c0e7a21d94b36f8.0.0.0\",4294967297,\"done\",\"\"]"), false },
+		{ "an end is no row", LISTS("", "null," END_ROW), false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat(REPLY("200 OK", ""), cases[i].body, NULL);
+		const struct raw_step step = { RAW_ANSWER_CLOSE, text };
+		struct raw_server *s = raw_server_create(&step, 1);
+		struct client *c = client_create();
+		struct outcome o = poll_runner(c, s);
+
+		cr_expect_eq(o.polled, cases[i].polled, "%s: reply %d with %zu running, %zu ended",
+			     cases[i].name, o.polled, o.n_running, o.n_ended);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
 Test(orders, results_of_a_start)
 {
 	static const struct {
