--- a/packages/node/ports.h
+++ b/packages/node/ports.h
@@ -38,7 +38,7 @@
 	const struct store_record *record;
 	size_t n;
 	uint64_t oldest_offset; /* of the oldest record that is kept */
-	uint64_t next_offset;	/* where the next read starts */
+	uint64_t next_offset;	/* end of the log; a long page ends before it */
 	bool more;		/* store_ops.newest only: more keys follow the last one */
 };
 
--- a/tests/platform/rawserver.c
+++ b/tests/platform/rawserver.c
@@ -98,7 +98,7 @@
 
 	s->requests++;
 	if (step->act == RAW_ANSWER || step->act == RAW_ANSWER_CLOSE)
-		raw_send(c->sock, step->text, strlen(step->text));
+		raw_send(c->sock, step->text, step->size ? step->size : strlen(step->text));
 	if (step->act != RAW_ANSWER_CLOSE && step->act != RAW_RESET)
 		return true;
 	conn_close(s, c, step->act == RAW_RESET);
--- a/tests/platform/rawserver.h
+++ b/tests/platform/rawserver.h
@@ -17,6 +17,7 @@
 struct raw_step {
 	enum raw_act act;
 	const char *text;
+	size_t size; /* of text, 0 if it ends with its first zero byte */
 };
 
 struct raw_server;
--- /dev/null
+++ b/tests/platform/test_discovery.c
@@ -0,0 +1,201 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "discovery.h"
+
+#define WAIT_MAX_MS 3000
+#define CAPACITY    "\"capacity\":{\"cpu\":1000,\"mem-mb\":10}"
+
+/* Stands for the node of the same name. */
+struct node {
+	GHashTable *known; /* runners by id: 1 for ready, 2 for draining */
+};
+
+int64_t node_now_ms(void)
+{
+	return g_get_monotonic_time() / 1000;
+}
+
+const struct queues *node_queues(const struct node *n)
+{
+	return NULL;
+}
+
+void node_configure(struct node *n, struct queues *q)
+{
+	queues_destroy(q);
+}
+
+void node_update_runner(struct node *n, const struct runner_info *info)
+{
+	g_hash_table_insert(n->known, g_strdup(info->id), GINT_TO_POINTER(info->draining ? 2 : 1));
+}
+
+void node_remove_runner(struct node *n, const char *id)
+{
+	g_hash_table_remove(n->known, id);
+}
+
+/* What the store answers to the calls of the runners' topic, one after the other. */
+struct answer {
+	bool newest; /* the call that is expected */
+	enum store_result result;
+	const char *after; /* of a newest call */
+	uint64_t from;	   /* of a read */
+	struct store_record rec[4];
+	size_t n;
+	uint64_t end; /* of the log */
+	bool more;
+};
+
+struct fake {
+	const struct answer *answer;
+	size_t n;
+	size_t next;
+	struct node node;
+};
+
+static gboolean is_runners(const char *topic)
+{
+	return g_str_equal(topic, "keyed.servers");
+}
+
+static void reply(struct fake *f, page_fn fn, void *ctx)
+{
+	const struct answer *a = &f->answer[f->next++];
+	struct store_page page = {
+		.record = a->rec, .n = a->n, .next_offset = a->end, .more = a->more
+	};
+
+	fn(ctx, a->result, a->result == STORE_OK ? &page : NULL);
+}
+
+static void fake_newest(void *impl, const char *topic, uint32_t part, const char *after, page_fn fn,
+			void *ctx)
+{
+	struct fake *f = impl;
+
+	if (!is_runners(topic) || f->next == f->n)
+		return;
+	cr_expect(f->answer[f->next].newest, "call %zu is a load", f->next);
+	cr_expect_str_eq(after, f->answer[f->next].after);
+	reply(f, fn, ctx);
+}
+
+static void fake_read(void *impl, const char *topic, uint32_t part, uint64_t from, uint32_t wait_ms,
+		      page_fn fn, void *ctx)
+{
+	struct fake *f = impl;
+
+	if (!is_runners(topic) || f->next == f->n)
+		return;
+	cr_expect(!f->answer[f->next].newest, "call %zu is a read", f->next);
+	cr_expect_eq(from, f->answer[f->next].from, "call %zu reads from %" G_GUINT64_FORMAT,
+		     f->next, from);
+	reply(f, fn, ctx);
+}
+
+static const struct store_ops fake_ops = { .newest = fake_newest, .read = fake_read };
+
+/* Runs discovery until all answers are given; returns the runners that the node knows then. */
+static GHashTable *run(const struct answer *answer, size_t n)
+{
+	struct fake f = { .answer = answer, .n = n };
+	struct store store = { .ops = &fake_ops, .impl = &f };
+	int64_t end_ms = node_now_ms() + WAIT_MAX_MS;
+	struct discovery *d;
+
+	f.node.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d = discovery_create(&store, &f.node);
+	discovery_start(d);
+	discovery_follow_runners(d, true);
+	while (f.next < n && node_now_ms() < end_ms)
+		g_main_context_iteration(NULL, TRUE);
+	cr_expect_eq(f.next, n, "%zu of %zu answers used", f.next, n);
+	discovery_destroy(d);
+	return f.node.known;
+}
+
+static int state_of(GHashTable *known, const char *id)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(known, id));
+}
+
+#define ENTRY(state)                                                                               \
+	(const uint8_t *)"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","            \
+			 "\"born\":1,\"state\":\"" state "\"," CAPACITY "}"
+#define SIZE(state)                                                                                \
+	sizeof("{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","                      \
+	       "\"born\":1,\"state\":\"" state "\"," CAPACITY "}") -                               \
+		1
+#define RECORD(at, id, state)                                                                      \
+	{                                                                                          \
+		.offset = (at), .key = (id), .value = ENTRY(state), .size = SIZE(state)            \
+	}
+#define REMOVED(at, id)                                                                            \
+	{                                                                                          \
+		.offset = (at), .key = (id)                                                        \
+	}
+
+/* Of a page that ends before the log does, the rest was skipped: a draining runner got work. */
+Test(discovery, reads_on_after_the_last_record_of_a_page)
+{
+	static const struct answer answers[] = {
+		{ .newest = true,
+		  .after = "",
+		  .rec = { RECORD(1, "i-1", "ready") },
+		  .n = 1,
+		  .end = 2 },
+		{ .from = 2, .rec = { RECORD(2, "i-1", "ready") }, .n = 1, .end = 5 },
+		{ .from = 3,
+		  .rec = { RECORD(3, "i-2", "ready"), RECORD(4, "i-1", "draining") },
+		  .n = 2,
+		  .end = 5 },
+		{ .from = 5, .end = 5 },
+	};
+	g_autoptr(GHashTable) known = run(answers, G_N_ELEMENTS(answers));
+
+	cr_expect_eq(state_of(known, "i-1"), 2);
+	cr_expect_eq(state_of(known, "i-2"), 1);
+}
+
+/* A load whose pages fail in between, and a reload, keep the runners that have an entry. */
+Test(discovery, load_that_fails_between_pages_removes_nobody)
+{
+	static const struct answer answers[] = {
+		{ .newest = true,
+		  .after = "",
+		  .rec = { RECORD(1, "i-1", "ready"), RECORD(2, "i-2", "ready") },
+		  .n = 2,
+		  .end = 4,
+		  .more = true },
+		{ .newest = true, .after = "i-2", .result = STORE_UNKNOWN },
+		{ .newest = true,
+		  .after = "i-2",
+		  .rec = { RECORD(3, "i-3", "ready") },
+		  .n = 1,
+		  .end = 4 },
+		{ .from = 4, .result = STORE_TRIMMED },
+		{ .newest = true, .after = "", .result = STORE_REFUSED },
+		{ .newest = true,
+		  .after = "",
+		  .rec = { RECORD(1, "i-1", "ready") },
+		  .n = 1,
+		  .end = 9,
+		  .more = true },
+		{ .newest = true, .after = "i-1", .result = STORE_UNKNOWN },
+		{ .newest = true,
+		  .after = "i-1",
+		  .rec = { RECORD(3, "i-3", "draining") },
+		  .n = 1,
+		  .end = 9 },
+		{ .from = 9, .rec = { REMOVED(9, "i-1") }, .n = 1, .end = 10 },
+		{ .from = 10, .rec = { RECORD(10, "i-1", "ready") }, .n = 1, .end = 11 },
+	};
+	g_autoptr(GHashTable) known = run(answers, G_N_ELEMENTS(answers));
+
+	cr_expect_eq(state_of(known, "i-1"), 1);
+	cr_expect_eq(state_of(known, "i-2"), 0);
+	cr_expect_eq(state_of(known, "i-3"), 2);
+}
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -118,3 +118,94 @@
 		raw_server_destroy(s);
 	}
 }
+
+/* What was reported of one read. */
+struct read_outcome {
+	struct raw_server *server;
+	uint32_t replies;
+	enum store_result result;
+	size_t n;
+	uint64_t last_offset;
+	char last_key[8];
+	uint64_t end;
+};
+
+static void on_read(void *ctx, enum store_result result, const struct store_page *page)
+{
+	struct read_outcome *o = ctx;
+
+	o->replies++;
+	o->result = result;
+	if (result != STORE_OK)
+		return;
+	o->n = page->n;
+	o->end = page->next_offset;
+	if (page->n) {
+		o->last_offset = page->record[page->n - 1].offset;
+		if (page->record[page->n - 1].key)
+			g_strlcpy(o->last_key, page->record[page->n - 1].key, sizeof(o->last_key));
+	}
+}
+
+static bool is_read(void *ctx)
+{
+	struct read_outcome *o = ctx;
+
+	raw_server_serve(o->server);
+	return o->replies > 0;
+}
+
+#define END_9 "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0"
+#define RECORD_AB                                                                                  \
+	"\0\0\0\x03\x01"                                                                           \
+	"ab" /* key a, value b */
+#define NO_KEY                                                                                     \
+	"\0\0\0\x02\x05"                                                                           \
+	"a" /* its key is cut off */
+
+/* Readers go on after the last record of a page, so an unreadable one has to be in it. */
+Test(store, page_has_all_records)
+{
+	static const struct {
+		const char *name;
+		const char *body;
+		size_t size;
+		enum store_result result;
+		size_t n;
+		uint64_t last_offset;
+		const char *last_key;
+	} cases[] = {
+		{ "no record", END_9, sizeof(END_9) - 1, STORE_OK, 0, 0, "" },
+		{ "one", END_9 RECORD_AB, sizeof(END_9 RECORD_AB) - 1, STORE_OK, 1, 5, "a" },
+		{ "one without a key", END_9 NO_KEY, sizeof(END_9 NO_KEY) - 1, STORE_OK, 1, 5, "" },
+		{ "empty record", END_9 "\0\0\0\0", sizeof(END_9) - 1 + 4, STORE_OK, 1, 5, "" },
+		{ "one after it", END_9 NO_KEY RECORD_AB, sizeof(END_9 NO_KEY RECORD_AB) - 1,
+		  STORE_OK, 2, 6, "a" },
+		{ "record cut off", END_9 RECORD_AB, sizeof(END_9 RECORD_AB) - 2, STORE_UNKNOWN, 0,
+		  0, "" },
+		{ "header cut off", END_9, 15, STORE_UNKNOWN, 0, 0, "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GString) text = g_string_new("HTTP/1.1 200 OK\r\n\r\n");
+		struct raw_step step = { .act = RAW_ANSWER_CLOSE };
+		struct raw_server *s = raw_server_create(&step, 1);
+		g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+		struct client *c = client_create();
+		struct log_store *store = log_store_create(c, address);
+		struct read_outcome o = { .server = s };
+
+		g_string_append_len(text, cases[i].body, (gssize)cases[i].size);
+		step.text = text->str;
+		step.size = text->len;
+		log_store_ops.read(store, "keyed.topic", 0, 5, 0, on_read, &o);
+		cr_assert(raw_wait_until(is_read, &o));
+		cr_expect_eq(o.result, cases[i].result, "%s: result %d", cases[i].name, o.result);
+		cr_expect_eq(o.n, cases[i].n, "%s: %zu records", cases[i].name, o.n);
+		cr_expect_eq(o.last_offset, cases[i].last_offset);
+		cr_expect_str_eq(o.last_key, cases[i].last_key);
+		client_destroy(c);
+		log_store_destroy(store);
+		raw_server_destroy(s);
+	}
+}
