tests: count the attempts of tasks in the simulation

The simulation checked capacity, second runs and starts after an end as done, but not attempts, and all its jobs had eight of them.

It now counts, for each task, the acknowledged ends as failed (not those after which the runner's lease lapsed, as in the rule) and complains about a start after the last attempt, and about a job that is shown as failed while no task or gang of it has failed so often. Jobs may have one to four attempts; a share of them always fails, gangs among them. Polls may be carried out 2 to 12 s late, and the store may be slow.

--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -156,8 +156,11 @@
 	/* The log keeps the records. */
 	g_ptr_array_set_free_func(records, NULL);
 	a->records = records;
-	sim_at(ss->sim, ss->sim->now_ms + APPEND_MS / 2 + sim_pick(ss->sim, APPEND_MS),
-	       append_arrives, a);
+	if (ss->sim->conf->write_ms)
+		sim_at(ss->sim, ss->sim->now_ms + ss->sim->conf->write_ms, append_arrives, a);
+	else
+		sim_at(ss->sim, ss->sim->now_ms + APPEND_MS / 2 + sim_pick(ss->sim, APPEND_MS),
+		       append_arrives, a);
 }
 
 static void expire_op(void *ctx, const char *id)
@@ -321,7 +324,9 @@
 	m.queue = sim_pick(s, 2) ? "urgent" : "batch";
 	m.service = "desk";
 	m.payload = "";
-	m.attempts_max = 8;
+	job->attempts = s->conf->attempts ? 1 + sim_pick(s, s->conf->attempts) : 8;
+	job->is_poisoned = s->conf->poison_milli && sim_chance(s, s->conf->poison_milli);
+	m.attempts_max = job->attempts;
 	m.accepted_ms = WALL_MS + s->now_ms;
 	m.priority = g_str_equal(m.queue, "urgent") ? 0 : 2;
 	m.step = steps;
@@ -410,6 +415,8 @@
 
 		r->done += j->stored_state == JOB_DONE;
 		r->failed += j->stored_state == JOB_FAILED;
+		if (j->stored_state == JOB_FAILED && !job->has_failed_often)
+			sim_violation(s, &r->failed_early, "failed early", job->id);
 		r->cancelled += j->stored_state == JOB_CANCELLED;
 		r->open_jobs += j->stored_state < JOB_DONE && can_end(s, j);
 		if (j->stored_state == JOB_DONE)
@@ -440,6 +447,8 @@
 	}
 	g_ptr_array_unref(s->log);
 	g_hash_table_unref(s->done);
+	g_hash_table_unref(s->acked_failures);
+	g_hash_table_unref(s->listed_failures);
 	g_hash_table_unref(s->job);
 	queues_destroy(s->queues);
 	g_rand_free(s->rng);
@@ -457,6 +466,8 @@
 	s.sched = g_ptr_array_new();
 	s.log = g_ptr_array_new();
 	s.done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.acked_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.listed_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s.job = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s.faults_until_ms = START_MS + (int64_t)conf->jobs * conf->job_every_ms + 5000;
 	end_ms = s.faults_until_ms + FAULT_FREE_MS;
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -10,21 +10,25 @@
  *
  * Schedulers are replaced while older ones go on; orders arrive late, twice or never; runners stop
  * answering and restart. The runners follow the rules of the platform's interface, and check the
- * scheduler: capacity, duplicate runs of a task, starts after its end.
+ * scheduler: capacity, duplicate runs of a task, starts after its end, attempts.
  */
 struct sim_conf {
 	uint64_t seed;
 	uint32_t runners;
 	uint32_t jobs;
-	uint32_t job_every_ms;	 /* mean */
-	uint32_t tasks;		 /* of a step, mean */
-	uint32_t task_ms;	 /* run time, mean */
-	uint32_t task_cpu_milli; /* mean; a runner has 32,000 */
-	uint32_t gang_milli;	 /* share of jobs; all shares are in 1/1000 */
-	uint32_t cancel_milli;	 /* share of jobs */
-	uint32_t fail_milli;	 /* share of runs */
-	uint32_t lost_milli;	 /* share of orders carried out, but without an answer */
-	uint32_t late_milli;	 /* share of orders carried out 2 to 12 s late, without an answer */
+	uint32_t job_every_ms;	  /* mean */
+	uint32_t tasks;		  /* of a step, mean */
+	uint32_t task_ms;	  /* run time, mean */
+	uint32_t task_cpu_milli;  /* mean; a runner has 32,000 */
+	uint32_t gang_milli;	  /* share of jobs; all shares are in 1/1000 */
+	uint32_t cancel_milli;	  /* share of jobs */
+	uint32_t fail_milli;	  /* share of runs */
+	uint32_t poison_milli;	  /* share of jobs whose runs all fail */
+	uint32_t write_ms;	  /* time to store progress; 0 for a fast store */
+	uint32_t attempts;	  /* of a job, at most; 0 for 8 in all jobs */
+	uint32_t late_poll_milli; /* share of polls carried out 2 to 12 s late */
+	uint32_t lost_milli;	  /* share of orders carried out, but without an answer */
+	uint32_t late_milli; /* share of orders carried out 2 to 12 s late, without an answer */
 	uint32_t replace_every_ms; /* replacement of the scheduler; 0 for never */
 	uint32_t silent_every_ms;  /* a runner stops answering for seconds; 0 for never */
 	uint32_t restart_milli;	   /* share of silent runners that restart */
@@ -38,6 +42,8 @@
 	uint32_t reruns;	      /* starts of a task whose end as done was acknowledged */
 	uint32_t partial_gangs;	      /* gangs whose members did not all start in time */
 	uint32_t starts_after_cancel; /* starts long after their job was cancelled */
+	uint32_t over_budget;	      /* starts after all attempts, with acknowledged failures */
+	uint32_t failed_early;	      /* jobs that failed before all attempts of a task */
 	uint32_t done;
 	uint32_t failed;
 	uint32_t cancelled;
--- a/tests/cell/sim_priv.h
+++ b/tests/cell/sim_priv.h
@@ -19,7 +19,8 @@
 	int64_t incarnation_ms; /* start of its incarnation, by the clock of the simulation */
 	uint64_t fence;		/* highest term seen */
 	uint64_t next_end_seq;
-	int64_t lease_ms; /* deadline, by its own clock */
+	int64_t lease_ms;  /* deadline, by its own clock */
+	int64_t lapsed_ms; /* when its lease was last found to have lapsed */
 	int64_t silent_until_ms;
 	GPtrArray *task;     /* struct sim_task */
 	GPtrArray *end;	     /* struct sim_end */
@@ -41,6 +42,9 @@
 	int64_t submit_ms;
 	int64_t cancel_ms;
 	bool is_cancelled;
+	bool is_poisoned;
+	bool has_failed_often; /* a task or gang has used up its attempts */
+	uint32_t attempts;
 };
 
 struct sim {
@@ -56,7 +60,9 @@
 	struct queues *queues;
 	GPtrArray *log; /* struct log_record, of all partitions */
 	uint64_t epoch;
-	GHashTable *done; /* set of tasks whose end as done was acknowledged */
+	GHashTable *done;	     /* set of tasks whose end as done was acknowledged */
+	GHashTable *acked_failures;  /* of each task */
+	GHashTable *listed_failures; /* of each task, or of each gang by its step */
 	GHashTable *job;
 	uint32_t jobs;
 	int64_t faults_until_ms;
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -5,6 +5,8 @@
 
 #define TIMEOUT_MS    600
 #define WAIT_EXTRA_MS 800
+#define LATE_MIN_MS   2000
+#define LATE_MORE_MS  10000
 #define SLOW_MILLI    20 /* by which a runner's clock is slow, in 1/1000 */
 
 /* A run on its runner. */
@@ -26,6 +28,7 @@
 	char *name;
 	uint32_t run;
 	enum run_end end;
+	int64_t ended_ms;
 };
 
 /* A start or stop order in flight, and its answer. */
@@ -85,7 +88,31 @@
 	g_free(e);
 }
 
-static void add_end(struct sim_runner *r, const struct sim_task *t, enum run_end how)
+static uint32_t count_up(GHashTable *counts, const char *name)
+{
+	uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, name)) + 1;
+
+	g_hash_table_insert(counts, g_strdup(name), GUINT_TO_POINTER(n));
+	return n;
+}
+
+static struct sim_job *job_of_task(const struct sim *s, const char *task)
+{
+	g_autofree char *id = g_strndup(task, JOB_ID_LEN);
+
+	return g_hash_table_lookup(s->job, id);
+}
+
+/* The failures of all members of a gang count together. */
+static void note_failure(struct sim *s, const struct sim_task *t)
+{
+	struct sim_job *job = job_of_task(s, t->name);
+
+	if (count_up(s->listed_failures, t->gang ? t->gang : t->name) >= job->attempts)
+		job->has_failed_often = true;
+}
+
+static void add_end(struct sim *s, struct sim_runner *r, const struct sim_task *t, enum run_end how)
 {
 	struct sim_end *e = g_new0(struct sim_end, 1);
 
@@ -93,13 +120,16 @@
 	e->name = g_strdup(t->name);
 	e->run = t->run;
 	e->end = how;
+	e->ended_ms = s->now_ms;
 	g_ptr_array_add(r->end, e);
 	g_hash_table_insert(r->stopped, g_strdup(t->name), GUINT_TO_POINTER(t->run));
+	if (how == END_FAILED)
+		note_failure(s, t);
 }
 
-static void end_task(struct sim_runner *r, guint i, enum run_end how)
+static void end_task(struct sim *s, struct sim_runner *r, guint i, enum run_end how)
 {
-	add_end(r, r->task->pdata[i], how);
+	add_end(s, r, r->task->pdata[i], how);
 	g_ptr_array_remove_index(r->task, i);
 }
 
@@ -134,16 +164,18 @@
 			struct sim_task *t = r->task->pdata[i - 1];
 
 			if (t->gang && g_str_equal(t->gang, gang) && t->run == run)
-				end_task(r, i - 1, how);
+				end_task(s, r, i - 1, how);
 		}
 	}
 }
 
 static void advance_runner(struct sim *s, struct sim_runner *r)
 {
-	if (clock_of(s, r) > r->lease_ms)
+	if (clock_of(s, r) > r->lease_ms) {
+		r->lapsed_ms = s->now_ms;
 		while (r->task->len)
-			end_task(r, 0, END_LAPSED);
+			end_task(s, r, 0, END_LAPSED);
+	}
 	for (guint i = r->task->len; i > 0; i--) {
 		struct sim_task *t = r->task->pdata[i - 1];
 		g_autofree char *gang = NULL;
@@ -151,13 +183,13 @@
 		enum run_end how = t->fails ? END_FAILED : END_DONE;
 
 		if (t->end_ms == INT64_MAX && s->now_ms - t->started_ms > GANG_MS) {
-			end_task(r, i - 1, END_GANG_INCOMPLETE);
+			end_task(s, r, i - 1, END_GANG_INCOMPLETE);
 			continue;
 		}
 		if (t->end_ms > s->now_ms)
 			continue;
 		gang = g_strdup(t->gang);
-		end_task(r, i - 1, t->stopping ? END_STOPPED : how);
+		end_task(s, r, i - 1, t->stopping ? END_STOPPED : how);
 		if (gang)
 			end_gang(s, gang, run, how == END_DONE ? END_DONE : END_GANG_BROKEN);
 		i = MIN(i, r->task->len + 1);
@@ -196,8 +228,7 @@
 
 static void check_start(struct sim *s, struct sim_runner *r, const struct sim_task *t)
 {
-	const struct sim_job *job;
-	g_autofree char *id = g_strndup(t->name, JOB_ID_LEN);
+	const struct sim_job *job = job_of_task(s, t->name);
 	int64_t used = t->cpu_milli;
 
 	for (guint i = 0; i < r->task->len; i++)
@@ -212,10 +243,11 @@
 				sim_violation(s, &s->result->duplicate_runs, "duplicate run",
 					      t->name);
 	}
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(s->acked_failures, t->name)) >= job->attempts)
+		sim_violation(s, &s->result->over_budget, "start after all attempts", t->name);
 	if (g_hash_table_contains(s->done, t->name))
 		sim_violation(s, &s->result->reruns, "start after its end", t->name);
-	job = g_hash_table_lookup(s->job, id);
-	if (job && job->is_cancelled && s->now_ms - job->cancel_ms > 13000 + LEASE_MS)
+	if (job->is_cancelled && s->now_ms - job->cancel_ms > 13000 + LEASE_MS)
 		sim_violation(s, &s->result->starts_after_cancel, "start of a cancelled job",
 			      t->name);
 }
@@ -285,7 +317,7 @@
 	t->started_ms = s->now_ms;
 	t->work_ms = sim_around(s, s->conf->task_ms);
 	t->end_ms = o->gang ? INT64_MAX : s->now_ms + t->work_ms;
-	t->fails = sim_chance(s, s->conf->fail_milli);
+	t->fails = sim_chance(s, s->conf->fail_milli) || job_of_task(s, t->name)->is_poisoned;
 	s->result->starts++;
 	check_start(s, r, t);
 	r->lease_ms = MAX(r->lease_ms, o->deadline_ms);
@@ -316,7 +348,7 @@
 	*no_answer = sim_faulty(s) && sim_chance(s, s->conf->lost_milli);
 	if (sim_faulty(s) && sim_chance(s, s->conf->late_milli)) {
 		*no_answer = true;
-		return 2000 + sim_pick(s, 10000);
+		return LATE_MIN_MS + sim_pick(s, LATE_MORE_MS);
 	}
 	return 1 + sim_pick(s, 25);
 }
@@ -459,6 +491,7 @@
 	c->reply.clock_ms = clock_of(s, r);
 }
 
+/* A failure doesn't count if the runner's lease lapsed before it was acknowledged. */
 static void ack_ends(struct sim *s, struct sim_runner *r, uint64_t acked_end)
 {
 	for (guint i = r->end->len; i > 0; i--) {
@@ -468,6 +501,8 @@
 			continue;
 		if (e->end == END_DONE)
 			g_hash_table_add(s->done, g_strdup(e->name));
+		else if (e->end == END_FAILED && r->lapsed_ms <= e->ended_ms)
+			count_up(s->acked_failures, e->name);
 		g_ptr_array_remove_index(r->end, i - 1);
 	}
 }
@@ -513,6 +548,22 @@
 	poll_waits(s, c);
 }
 
+/* The runner carries out a poll whose sender has given it up. */
+static void late_poll_arrives(struct sim *s, void *data)
+{
+	struct poll_call *c = data;
+	struct sim_runner *r = find_runner(s, c->runner);
+
+	sim_advance(s);
+	if (s->now_ms >= r->silent_until_ms && c->term >= r->fence) {
+		r->fence = c->term;
+		r->lease_ms = MAX(r->lease_ms, c->deadline_ms);
+		ack_ends(s, r, c->acked_end);
+	}
+	g_free(c->runner);
+	g_free(c);
+}
+
 void sim_poll(void *ctx, const struct poll_order *order)
 {
 	struct sim_sched *ss = ctx;
@@ -529,6 +580,19 @@
 	c->names = g_ptr_array_new_with_free_func(g_free);
 	c->no_answer = sim_faulty(s) && sim_chance(s, s->conf->lost_milli);
 	c->until_ms = s->now_ms + order->wait_ms;
+	if (s->conf->late_poll_milli && sim_faulty(s) && sim_chance(s, s->conf->late_poll_milli)) {
+		struct poll_call *late = g_new0(struct poll_call, 1);
+
+		late->runner = g_strdup(c->runner);
+		late->term = c->term;
+		late->deadline_ms = c->deadline_ms;
+		late->acked_end = c->acked_end;
+		sim_at(s, s->now_ms + LATE_MIN_MS + sim_pick(s, LATE_MORE_MS), late_poll_arrives,
+		       late);
+		c->silent = true;
+		sim_at(s, c->until_ms + WAIT_EXTRA_MS, poll_answered, c);
+		return;
+	}
 	sim_at(s, s->now_ms + 1 + sim_pick(s, 25), poll_arrives, c);
 }
 
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -40,6 +40,22 @@
 	return c;
 }
 
+/* Jobs with few attempts, some of whose runs all fail; replies to polls are lost or late. */
+static struct sim_conf with_poison(struct sim_conf c, uint32_t late_poll)
+{
+	c.poison_milli = 300;
+	c.attempts = 4;
+	c.late_poll_milli = late_poll;
+	return c;
+}
+
+static struct sim_conf with_slow_writes(struct sim_conf c)
+{
+	c = with_poison(c, 0);
+	c.write_ms = 180;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -53,6 +69,10 @@
 		     r.first_violation);
 	cr_expect_eq(r.starts_after_cancel, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
+	cr_expect_eq(r.over_budget, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
+		     r.first_violation);
+	cr_expect_eq(r.failed_early, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
+		     r.first_violation);
 	cr_expect_eq(r.open_jobs, 0, "%s, seed %lu: %u jobs did not end", what,
 		     (unsigned long)conf->seed, r.open_jobs);
 }
@@ -77,6 +97,19 @@
 		{ "all together", faults(20, 50, 30, 3000, 2500, 300, 200, 100, 0), 12 },
 		{ "all together, with advice", faults(20, 50, 30, 3000, 2500, 300, 200, 100, 60),
 		  8 },
+		{ "poison", with_poison(faults(50, 0, 0, 0, 0, 0, 300, 50, 0), 0), 4 },
+		{ "poison, lost and late orders",
+		  with_poison(faults(50, 50, 30, 0, 0, 0, 300, 50, 0), 0), 6 },
+		{ "poison, replaced schedulers",
+		  with_poison(faults(50, 50, 0, 3000, 0, 0, 300, 50, 0), 0), 8 },
+		{ "poison, silent runners",
+		  with_poison(faults(50, 50, 0, 0, 1500, 0, 300, 50, 0), 0), 6 },
+		{ "poison, all together",
+		  with_poison(faults(50, 50, 30, 3000, 2500, 300, 300, 50, 0), 0), 8 },
+		{ "poison, slow store", with_slow_writes(faults(50, 50, 0, 2000, 0, 0, 300, 50, 0)),
+		  8 },
+		{ "poison, late polls",
+		  with_poison(faults(50, 50, 0, 3000, 1500, 0, 300, 50, 0), 30), 6 },
 	};
 	uint32_t first = env_number("KW_SIM_FIRST", 1);
 	uint32_t more = env_number("KW_SIM_SEEDS", 0);
