cell: take over the runs of a job that is read after the takeover

Cause: a job is offered to the scheduler while its record is being stored, and its intents are stored meanwhile. A scheduler that is being replaced goes on for up to 2 s, or until it notices, so it may get the answer to a job's append, and send the job's starts, after its successor has read the jobs to their end. The successor had read the intent (the progress comes from a fenced partition), but only runs of jobs known at its creation were taken over. When it read the job's record, up to 300 ms later, it saw a job without runs: it placed the task elsewhere. Until then the runner's list named an unknown task: the run was stopped, its end dropped and acknowledged, and its room given away.

Change: a job's stored runs are taken over when the scheduler first sees the job, whenever that is. While a runner lists a run whose intent is known and whose job isn't, the run is left alone and keeps its lease, its end and the later ones stay on the runner, and the runner gets no starts. Only runs named in progress count, so a leftover record doesn't hold up a runner. A runner that has answered keeps its incarnation: had it been raised from the log, the ends of the newer one would have been skipped up to the number of the last end of the older one.

Evidence: simulation with jobs stored slowly (400 ms) beside replacements every 0.8 s, which now models that a job is placed before it is stored.

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -92,6 +92,7 @@
 	int64_t clock_local_ms;	  /* our clock when clock_ms was received */
 	int64_t granted_until_ms; /* end of the last lease, by our clock */
 	int64_t answered_ms;	  /* last reply to a poll */
+	bool has_unread_runs;	  /* its last reply lists runs of jobs that were not read yet */
 	uint32_t misses;	  /* polls without a reply and starts without effect since then */
 	uint64_t acked_end;	  /* ends up to this seq are stored: the runner may forget them */
 	uint64_t unacked_end;	  /* acked_end once unacked_end_batch is stored */
--- a/packages/cell/process/job_table.c
+++ b/packages/cell/process/job_table.c
@@ -198,6 +198,27 @@
 	return *j ? cell_job_find_task(*j, occurrence, step, index) : UINT32_MAX;
 }
 
+bool job_table_expects_run(const struct job_table *t, const char *name, uint32_t run,
+			   const char *runner)
+{
+	char id[JOB_ID_LEN + 1];
+	uint32_t ignored;
+	const struct cell_job *j;
+
+	if (!task_name_parse(name, id, &ignored, &ignored, &ignored))
+		return false;
+	j = g_hash_table_lookup(t->by_id, id);
+	if (!j || j->spec || !j->stored_progress)
+		return false;
+	for (size_t i = 0; i < j->stored_progress->n_task; i++) {
+		const Cell__TaskProgress *row = j->stored_progress->task[i];
+
+		if (row->run == run && g_str_equal(row->runner, runner))
+			return true;
+	}
+	return false;
+}
+
 uint32_t job_table_count_waiting(const struct job_table *t, const char *queue)
 {
 	GHashTableIter it;
--- a/packages/cell/process/job_table.h
+++ b/packages/cell/process/job_table.h
@@ -36,6 +36,12 @@
 struct cell_job *job_table_find(const struct job_table *t, const char *id);
 /* job_table_find_task - finds a task by name: its job in *j, its number, or UINT32_MAX for none. */
 uint32_t job_table_find_task(const struct job_table *t, const char *name, struct cell_job **j);
+/*
+ * job_table_expects_run - true if the record of the task's job was not read yet, but its progress
+ * says that the run may exist on the runner.
+ */
+bool job_table_expects_run(const struct job_table *t, const char *name, uint32_t run,
+			   const char *runner);
 /* job_table_count_waiting - number of open jobs of the queue of which no task has run. */
 uint32_t job_table_count_waiting(const struct job_table *t, const char *queue);
 void job_table_each(const struct job_table *t, void (*fn)(void *ctx, struct cell_job *j),
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -9,6 +9,7 @@
 #define HANG_QUARANTINE_MS 3000	 /* of a runner with a hung run */
 #define POLL_ENDS_MAX	   500	 /* ends of runs in one reply, the platform's limit */
 #define QUARANTINE_MAX_MS  16000 /* a recovered runner is tried within this time */
+#define UNREAD_RETRY_MS	   100	 /* between polls of a runner with runs of unread jobs */
 
 static void count_failure(struct scheduler *s, struct cell_runner *rn, struct cell_job *j)
 {
@@ -150,6 +151,10 @@
 {
 	struct run *r = scheduler_find_run(s, rn->id, row->task, row->run);
 
+	if (!r && job_table_expects_run(s->jobs, row->task, row->run, rn->id)) {
+		rn->has_unread_runs = true;
+		return;
+	}
 	if (!r) {
 		g_info("stopping an unexpected run on runner %s: %s (run %u)", rn->id, row->task,
 		       row->run);
@@ -201,11 +206,21 @@
 void poll_read_reply(struct scheduler *s, struct cell_runner *rn, const struct poll_reply *reply,
 		     int64_t sent_ms)
 {
+	bool all_read = reply->n_ended < POLL_ENDS_MAX; /* a full list may omit ends */
+
+	rn->has_unread_runs = false;
 	for (guint i = 0; i < rn->runs->len; i++)
 		((struct run *)rn->runs->pdata[i])->listed = false;
 	for (size_t i = 0; i < reply->n_ended; i++) {
 		if (reply->ended[i].seq <= rn->last_end)
 			continue;
+		/* The runner keeps this end and the later ones until the job's record is read. */
+		if (job_table_expects_run(s->jobs, reply->ended[i].task, reply->ended[i].run,
+					  rn->id)) {
+			rn->has_unread_runs = true;
+			all_read = false;
+			break;
+		}
 		process_end(s, rn, &reply->ended[i]);
 		rn->last_end = reply->ended[i].seq;
 		rn->unacked_end = rn->last_end;
@@ -213,7 +228,8 @@
 	}
 	for (size_t i = 0; i < reply->n_running; i++)
 		process_running(s, rn, &reply->running[i]);
-	/* A full list may omit ends. */
-	if (reply->n_ended < POLL_ENDS_MAX)
+	if (rn->has_unread_runs)
+		rn->next_poll_ms = s->now_ms + UNREAD_RETRY_MS;
+	if (all_read)
 		lose_missing(s, rn, sent_ms);
 }
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -201,10 +201,11 @@
 	if (!unwritten)
 		rn->acked_end = rn->unacked_end;
 	order.acked_end = rn->acked_end;
-	if (rn->contacted && rn->misses == 0 && !unwritten)
+	if (rn->contacted && rn->misses == 0 && !unwritten && !rn->has_unread_runs)
 		order.wait_ms = rn->runs->len ? poll_wait(s, rn) : 0;
 	/* A silent runner may still receive polls: don't renew its lease, so that it runs out. */
-	if (rn->runs->len && rn->misses == 0 && s->now_ms <= s->grant_until_ms)
+	if ((rn->runs->len || rn->has_unread_runs) && rn->misses == 0 &&
+	    s->now_ms <= s->grant_until_ms)
 		order.deadline_ms = cell_runner_grant_lease(rn, s->conf.lease_ms, s->now_ms);
 	order.timeout_ms = order.wait_ms + POLL_ANSWER_MS;
 	rn->polling = true;
@@ -223,7 +224,7 @@
 		return rn->next_poll_ms;
 	if (rn->unacked_end_batch > s->batch_acked)
 		return MAX(rn->next_poll_ms, rn->granted_until_ms - s->conf.lease_ms / 2);
-	if (rn->runs->len == 0 && rn->acked_end == rn->unacked_end)
+	if (rn->runs->len == 0 && !rn->has_unread_runs && rn->acked_end == rn->unacked_end)
 		return rn->next_poll_ms + POLL_IDLE_MS;
 	return rn->next_poll_ms;
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -52,8 +52,9 @@
 
 bool scheduler_can_use_runner(const struct scheduler *s, const struct cell_runner *rn)
 {
+	/* How much room runs of unread jobs take is not known yet. */
 	return rn->contacted && !rn->gone && !rn->draining && rn->misses == 0 &&
-	       rn->quarantined_until_ms <= s->now_ms;
+	       !rn->has_unread_runs && rn->quarantined_until_ms <= s->now_ms;
 }
 
 static void stop_all(struct scheduler *s, struct cell_job *j)
@@ -90,9 +91,11 @@
 	}
 	/*
 	 * The order may have reached a newer incarnation than the one in the log, so a run of an
-	 * older incarnation is kept too, until a poll shows whether it exists.
+	 * older incarnation is kept too, until a poll shows whether it exists. A newer incarnation
+	 * of a runner that has answered shows in a reply.
 	 */
-	rn->incarnation_ms = MAX(rn->incarnation_ms, t->born_ms);
+	if (!rn->contacted)
+		rn->incarnation_ms = MAX(rn->incarnation_ms, t->born_ms);
 	r = runs_create(s, j, t->task, t->run);
 	r->state = RUN_UNCONFIRMED;
 	r->inherited = true;
@@ -103,12 +106,20 @@
 		scheduler_stop_run(s, r);
 }
 
+/* The job's own record may be read long after the progress that an earlier scheduler wrote. */
+static void inherit_runs(struct scheduler *s, struct cell_job *j)
+{
+	if (j->runs_inherited)
+		return;
+	j->runs_inherited = true;
+	for (size_t i = 0; j->stored_progress && i < j->stored_progress->n_task; i++)
+		inherit_run(s, j, j->stored_progress->task[i]);
+}
+
 static void inherit_job(void *ctx, struct cell_job *j)
 {
 	struct scheduler *s = ctx;
 
-	for (size_t i = 0; j->stored_progress && i < j->stored_progress->n_task; i++)
-		inherit_run(s, j, j->stored_progress->task[i]);
 	scheduler_job_changed(s, j, s->now_ms);
 }
 
@@ -138,6 +149,7 @@
 void scheduler_job_changed(struct scheduler *s, struct cell_job *j, int64_t now_ms)
 {
 	s->now_ms = now_ms;
+	inherit_runs(s, j);
 	if (cell_job_has_ended(j)) {
 		if (j->live_runs) {
 			open_job(s, j);
@@ -209,6 +221,7 @@
 	j->live_runs = 0;
 	j->dirty = false;
 	j->listed = false;
+	j->runs_inherited = false;
 }
 
 void scheduler_destroy(struct scheduler *s)
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -71,6 +71,7 @@
 	/* Used by the scheduler. */
 	bool dirty;		/* changed since it was last written */
 	bool listed;		/* in the scheduler's list of open jobs */
+	bool runs_inherited;	/* the runs in stored_progress have been taken over */
 	struct job_rank *rank;	/* valid during one placement pass */
 	uint32_t live_runs;	/* runs that may exist, of all tasks */
 	uint32_t failed_runner; /* handle + 1 of the runner of the first failure, 0 for none */
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -12,6 +12,7 @@
 #define LEASE_CAP_MS	     10000
 #define OLD_SCHEDULER_MAX_MS 7000 /* longest time that a replaced scheduler goes on */
 #define APPEND_MS	     12
+#define JOB_READ_MS	     300   /* between reads of the jobs */
 #define FAULT_FREE_MS	     60000 /* phase without faults at the end, so that all jobs can end */
 
 struct event {
@@ -297,6 +298,61 @@
 	}
 }
 
+/* A job that its scheduler places while its record is being stored. */
+struct job_append {
+	struct sim_sched *sender;
+	char key[JOB_ID_LEN + 1];
+	uint8_t *value;
+	size_t size;
+};
+
+/* The other schedulers read the record now and then. */
+static void job_read(struct sim *s, void *data)
+{
+	struct job_append *a = data;
+
+	for (guint i = 0; i < s->sched->len; i++) {
+		struct sim_sched *ss = s->sched->pdata[i];
+
+		if (!ss->dead)
+			job_table_apply(ss->jobs, a->key, a->value, a->size);
+	}
+	g_free(a);
+}
+
+static void job_stored(struct sim *s, void *data)
+{
+	struct job_append *a = data;
+	struct log_record *r = g_new0(struct log_record, 1);
+
+	r->key = g_strdup(a->key);
+	r->value = a->value;
+	r->size = a->size;
+	g_ptr_array_add(s->log, r);
+	if (!a->sender->dead)
+		job_table_apply(a->sender->jobs, a->key, a->value, a->size);
+	a->sender->refs--;
+	sim_at(s, s->now_ms + sim_pick(s, JOB_READ_MS), job_read, a);
+}
+
+static void submit_record(struct sim *s, const char *key, uint8_t *value, size_t size)
+{
+	struct job_append *a;
+
+	if (!s->conf->store_ms) {
+		append_record(s, key, value, size);
+		return;
+	}
+	a = g_new0(struct job_append, 1);
+	a->sender = s->current;
+	a->sender->refs++;
+	g_strlcpy(a->key, key, sizeof(a->key));
+	a->value = value;
+	a->size = size;
+	job_table_add_tentative(a->sender->jobs, key, value, size);
+	sim_at(s, s->now_ms + sim_around(s, s->conf->store_ms), job_stored, a);
+}
+
 static void cancel(struct sim *s, void *data)
 {
 	struct sim_job *job = data;
@@ -341,7 +397,7 @@
 	size = cell__job__get_packed_size(&m);
 	buf = g_malloc(size);
 	cell__job__pack(&m, buf);
-	append_record(s, job->id, buf, size);
+	submit_record(s, job->id, buf, size);
 	if (sim_chance(s, s->conf->cancel_milli))
 		sim_at(s, s->now_ms + sim_pick(s, 4000), cancel, job);
 	if (s->jobs < s->conf->jobs)
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -25,6 +25,7 @@
 	uint32_t fail_milli;	  /* share of runs */
 	uint32_t poison_milli;	  /* share of jobs whose runs all fail */
 	uint32_t write_ms;	  /* time to store progress; 0 for a fast store */
+	uint32_t store_ms;	  /* time to store a job, mean; 0 for none */
 	uint32_t attempts;	  /* of a job, at most; 0 for 8 in all jobs */
 	uint32_t late_poll_milli; /* share of polls carried out 2 to 12 s late */
 	uint32_t lost_milli;	  /* share of orders carried out, but without an answer */
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -56,6 +56,17 @@
 	return c;
 }
 
+static struct sim_conf with_slow_store(struct sim_conf c)
+{
+	c.attempts = 4;
+	c.poison_milli = 300;
+	c.store_ms = 400;
+	c.job_every_ms = 100;
+	c.jobs = 200;
+	c.task_ms = 400;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -108,6 +119,8 @@
 		  with_poison(faults(50, 50, 30, 3000, 2500, 300, 300, 50, 0), 0), 8 },
 		{ "poison, slow store", with_slow_writes(faults(50, 50, 0, 2000, 0, 0, 300, 50, 0)),
 		  8 },
+		{ "jobs are stored slowly",
+		  with_slow_store(faults(50, 30, 0, 800, 0, 0, 200, 0, 0)), 8 },
 		{ "poison, late polls",
 		  with_poison(faults(50, 50, 0, 3000, 1500, 0, 300, 50, 0), 30), 6 },
 	};
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -4,7 +4,8 @@
 
 /* Restarts of runners, and schedulers that inherit the runs of earlier ones. */
 
-#define ID_A "00000000000000a1"
+#define ID_A	     "00000000000000a1"
+#define POLL_IDLE_MS 4000 /* between polls of a runner without runs */
 
 /*
  * The runs of the old incarnation have ended, but a start order in flight may have reached the new
@@ -202,6 +203,98 @@
 	fixture_destroy(f);
 }
 
+/* Adds progress by which run 1 of the only task of ID_A may exist on r0. */
+static void add_intent(struct fixture *f, int64_t incarnation_ms)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
+	Cell__TaskProgress *rows[] = { &t };
+	uint8_t buf[256];
+
+	t.run = 1;
+	t.runner = "r0";
+	t.born_ms = incarnation_ms;
+	m.task = rows;
+	m.n_task = 1;
+	job_table_apply(f->jobs, ID_A "/p", buf, cell__progress__pack(&m, buf));
+}
+
+/*
+ * The earlier scheduler goes on for a while. A job whose start it intended may be stored only after
+ * this scheduler has read the log; then its run was not known, so the task started twice and its
+ * failure was acknowledged but not counted.
+ */
+Test(scheduler, takeover_inherits_runs_of_a_job_that_is_read_later)
+{
+	static const struct {
+		const char *what;
+		bool listed_before; /* listed before the job's record is read */
+		enum run_end end;
+		uint32_t failures;
+		bool done;
+	} cases[] = {
+		{ "failed", false, END_FAILED, 1, false },
+		{ "done", false, END_DONE, 0, true },
+		{ "failed before", true, END_FAILED, 1, false },
+		{ "done before", true, END_DONE, 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = fixture_create();
+		const struct poll_running row = {
+			.task = ID_A ".0.0.0", .run = 1, .checkpoint = "", .usage = 100
+		};
+
+		fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+		add_intent(f, 1000);
+		fixture_start_scheduler(f);
+		fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+		fixture_add_runner(f, "r1", "desk", "rack0", 1000, 0);
+		fixture_advance(f, 1);
+		fixture_poll_answer(f, "r0", &row, 1, NULL, 0);
+		fixture_poll_answer(f, "r1", NULL, 0, NULL, 0);
+		if (cases[i].listed_before) {
+			fixture_advance(f, POLL_IDLE_MS);
+			fixture_end_run(f, "r0", 1, ID_A ".0.0.0", 1, cases[i].end);
+		}
+		fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 100));
+		fixture_advance(f, 200);
+		cr_expect_eq(g_array_index(f->poll, struct fixture_poll, 0).acked_end, 0, "%s",
+			     cases[i].what);
+		fixture_ack_batch(f);
+		cr_expect_eq(f->starts, 0, "%s: it runs on r0", cases[i].what);
+		cr_expect_eq(f->stop->len, 0, "%s: it runs on r0", cases[i].what);
+		fixture_end_run(f, "r0", 1, ID_A ".0.0.0", 1, cases[i].end);
+		cr_expect_eq(fixture_find_job(f, ID_A)->task[0].failures, cases[i].failures, "%s",
+			     cases[i].what);
+		cr_expect_eq(fixture_find_job(f, ID_A)->task[0].done, cases[i].done, "%s",
+			     cases[i].what);
+		fixture_destroy(f);
+	}
+}
+
+/*
+ * The progress names a newer incarnation than the one that has answered. Taken for the same, the
+ * ends of the newer one would be skipped up to the last number of the older one.
+ */
+Test(scheduler, takeover_reads_the_ends_of_an_incarnation_known_from_a_late_job)
+{
+	struct fixture *f = fixture_create();
+
+	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+	add_intent(f, 2000);
+	fixture_start_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_end_run(f, "r0", 5, "00000000000000ff.0.0.0", 1, END_DONE);
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 100));
+	fixture_advance(f, 1);
+	f->incarnation_ms = 2000;
+	fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+	fixture_end_run(f, "r0", 1, ID_A ".0.0.0", 1, END_FAILED);
+	cr_assert_eq(fixture_find_job(f, ID_A)->task[0].failures, 1);
+	fixture_destroy(f);
+}
+
 Test(scheduler, a_stop_waits_until_the_runner_is_listed)
 {
 	struct fixture *f = fixture_default(1, 1000);
