tests: late appends, trimmed logs and compacted newest pages in the fake store

The fake store could not execute an append after it was given up (FAKE_LATE), delete old records (fake_trim), nor leave out superseded records in newest(), as the platform's store does. A repeated append now gets the offset of its first answer, and newest() can be held back like read().

--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -26,7 +26,8 @@
 	GArray *rec;
 	uint64_t epoch;
 	uint64_t seq;
-	uint64_t last_offset;
+	uint64_t offset[SEQS_REMEMBERED]; /* of the last appends, by seq modulo their number */
+	uint64_t oldest;		  /* earlier records were trimmed */
 };
 
 struct fake_log {
@@ -62,6 +63,7 @@
 	struct fake_log *log;
 	enum fake_mode mode;
 	GPtrArray *call;
+	GPtrArray *late;  /* unanswered appends of FAKE_LATE */
 	GHashTable *held; /* keys of the partitions whose reads are held back */
 	uint32_t appends;
 };
@@ -97,6 +99,7 @@
 	struct fake_client *c = data;
 
 	g_ptr_array_unref(c->call);
+	g_ptr_array_unref(c->late);
 	g_hash_table_unref(c->held);
 	g_free(c);
 }
@@ -124,6 +127,7 @@
 	c->log = l;
 	c->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->call = g_ptr_array_new_with_free_func(call_free);
+	c->late = g_ptr_array_new_with_free_func(call_free);
 	g_ptr_array_add(l->client, c);
 	return c;
 }
@@ -269,7 +273,7 @@
 		return STORE_FENCED;
 	if (cond->producer && call->records->len && cond->epoch == p->epoch &&
 	    cond->seq <= p->seq && cond->seq + SEQS_REMEMBERED > p->seq) {
-		*offset = p->last_offset;
+		*offset = p->offset[cond->seq % SEQS_REMEMBERED];
 		return STORE_OK;
 	}
 	if (cond->producer && call->records->len && cond->epoch == p->epoch && p->seq &&
@@ -279,10 +283,11 @@
 		if (cond->epoch > p->epoch)
 			p->seq = 0;
 		p->epoch = cond->epoch;
-		if (call->records->len)
+		if (call->records->len) {
 			p->seq = cond->seq;
+			p->offset[cond->seq % SEQS_REMEMBERED] = p->rec->len;
+		}
 	}
-	p->last_offset = p->rec->len;
 	for (guint i = 0; i < call->records->len; i++) {
 		const struct log_record *r = call->records->pdata[i];
 
@@ -291,6 +296,24 @@
 	return STORE_OK;
 }
 
+void fake_execute_late(struct fake_client *c)
+{
+	for (guint i = 0; i < c->late->len; i++) {
+		const struct call *call = c->late->pdata[i];
+		uint64_t offset;
+
+		do_append(find_part(c->log, call->part_key), call, &offset);
+	}
+	g_ptr_array_set_size(c->late, 0);
+}
+
+void fake_trim(struct fake_log *l, const char *topic, uint32_t part, uint64_t before)
+{
+	g_autofree char *part_key = make_part_key(topic, part);
+
+	find_part(l, part_key)->oldest = before;
+}
+
 /* Whether the record is the newest one of its key, and not a deletion. */
 static bool is_newest(const struct part *p, uint64_t i, uint64_t end)
 {
@@ -321,12 +344,24 @@
 
 static bool is_waiting(struct fake_client *c, const struct part *p, const struct call *call)
 {
-	if (c->mode != FAKE_OK)
+	if (c->mode != FAKE_OK && c->mode != FAKE_LATE)
 		return false;
 	return call->kind == CALL_READ && call->from >= p->rec->len &&
 	       fake_now_ms - call->called_ms < call->wait_ms;
 }
 
+static bool serves_reads(const struct fake_client *c)
+{
+	return c->mode == FAKE_OK || c->mode == FAKE_LOSES_REPLY || c->mode == FAKE_LATE;
+}
+
+static void answer_trimmed(const struct part *p, struct call *call)
+{
+	const struct store_page page = { .oldest_offset = p->oldest };
+
+	call->page(call->ctx, STORE_TRIMMED, &page);
+}
+
 static void serve(struct fake_client *c, struct call *call)
 {
 	struct part *p = find_part(c->log, call->part_key);
@@ -341,9 +376,11 @@
 		else if (c->mode == FAKE_LOSES_REPLY)
 			do_append(p, call, &offset);
 		call->appended(call->ctx, result, offset);
+	} else if (call->kind == CALL_READ && call->from < p->oldest && serves_reads(c)) {
+		answer_trimmed(p, call);
 	} else if (call->computed) {
 		answer_page(p, call, call->from, call->computed_end);
-	} else if (c->mode == FAKE_OK || c->mode == FAKE_LOSES_REPLY) {
+	} else if (serves_reads(c)) {
 		answer_page(p, call, call->kind == CALL_READ ? call->from : 0, p->rec->len);
 	} else {
 		call->page(call->ctx, result, NULL);
@@ -411,12 +448,18 @@
 	for (guint i = 0; i < c->call->len; i++) {
 		struct call *call = c->call->pdata[i];
 		struct part *p = find_part(c->log, call->part_key);
+		bool late;
 
 		if (is_waiting(c, p, call) || is_held(c, p, call))
 			continue;
 		g_ptr_array_steal_index(c->call, i);
+		/* An append that is held back is executed already. */
+		late = c->mode == FAKE_LATE && call->kind == CALL_APPEND && !call->computed;
 		serve(c, call);
-		call_free(call);
+		if (late)
+			g_ptr_array_add(c->late, call);
+		else
+			call_free(call);
 		return true;
 	}
 	return false;
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -12,6 +12,7 @@
 	FAKE_REFUSES,	  /* no effect, answers STORE_REFUSED */
 	FAKE_SILENT,	  /* no effect, answers STORE_UNKNOWN */
 	FAKE_LOSES_REPLY, /* takes effect, but answers STORE_UNKNOWN */
+	FAKE_LATE,	  /* reads are served; appends answer STORE_UNKNOWN, see below */
 };
 
 struct fake_log;
@@ -30,8 +31,8 @@
 /* fake_serve - answers queued calls, except for reads that still wait for a record. */
 void fake_serve(struct fake_log *l);
 /*
- * fake_hold_reads - holds back the answers to reads of a partition until fake_release_reads(). They
- * contain what the log held when they were served first.
+ * fake_hold_reads - holds back the answers to reads of a partition, of both kinds, until
+ * fake_release_reads(). They contain what the log held when they were served first.
  */
 void fake_hold_reads(struct fake_client *c, const char *topic, uint32_t part);
 void fake_release_reads(struct fake_client *c, const char *topic, uint32_t part);
@@ -43,6 +44,13 @@
 /* fake_delay_appends - executes the queued appends only after fake_release_appends(). */
 void fake_delay_appends(struct fake_client *c);
 void fake_release_appends(struct fake_client *c);
+/*
+ * fake_execute_late - executes the appends that were made in FAKE_LATE, oldest first, if their
+ * conditions still hold.
+ */
+void fake_execute_late(struct fake_client *c);
+/* fake_trim - deletes the records before an offset; the newest of each key is kept for newest(). */
+void fake_trim(struct fake_log *l, const char *topic, uint32_t part, uint64_t before);
 /* fake_add_record - adds a record as another client would. */
 void fake_add_record(struct fake_log *l, const char *topic, uint32_t part, const char *key,
 		     const uint8_t *value, size_t size);
