--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -102,7 +102,7 @@
 	joblog_append(f->joblog, ID, buf, size, fake_now_ms + within_ms, on_result, f);
 }
 
-static GPtrArray *progress_batch(enum job_state state, uint32_t run)
+static GPtrArray *progress_batch_of(const char *id, enum job_state state, uint32_t run)
 {
 	Cell__Progress m = CELL__PROGRESS__INIT;
 	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
@@ -114,7 +114,7 @@
 	m.state = state;
 	m.task = rows;
 	m.n_task = 1;
-	r->key = g_strdup(ID "/p");
+	r->key = g_strdup_printf("%s/p", id);
 	r->size = cell__progress__get_packed_size(&m);
 	r->value = g_malloc(r->size);
 	cell__progress__pack(&m, r->value);
@@ -122,6 +122,11 @@
 	return out;
 }
 
+static GPtrArray *progress_batch(enum job_state state, uint32_t run)
+{
+	return progress_batch_of(ID, state, run);
+}
+
 Test(joblog, job_is_accepted_once_it_is_stored)
 {
 	struct fixture f = { 0 };
@@ -405,6 +410,68 @@
 	teardown(&f);
 }
 
+/*
+ * A node lost the lease and won it again before the answer to its first fence came. That answer
+ * began the second term, whose fence was not stored yet: the scheduler in between could still write
+ * progress that the new one did not know.
+ */
+Test(joblog, fence_of_an_earlier_term_does_not_begin_a_later_one)
+{
+	struct fake_log *log = fake_log_create();
+	struct fixture f = { 0 };
+	struct fixture between = { 0 };
+
+	setup(&f, log);
+	setup(&between, log);
+	advance(&f, 100);
+	advance(&between, 100);
+	joblog_begin_term(f.joblog, 5, on_result, &f);
+	fake_hold_appends(f.client);
+	joblog_end_term(f.joblog);
+	begin_term(&between, 7);
+	fake_set_mode(f.client, FAKE_LATE);
+	joblog_begin_term(f.joblog, 9, on_result, &f);
+	fake_release_appends(f.client);
+	advance(&f, 400);
+	cr_assert_eq(f.results, 0, "term 9 began without a fence");
+	joblog_write(between.joblog, 1, progress_batch(JOB_RUNNING, 1));
+	advance(&between, 40);
+	cr_assert_eq(between.written, 1);
+	fake_set_mode(f.client, FAKE_OK);
+	advance(&f, 400);
+	cr_assert_eq(f.results, 1);
+	cr_assert_eq(f.result, STORE_OK);
+	teardown(&f);
+	teardown(&between);
+}
+
+/*
+ * A node lost the lease while it read the log for its term, and won it again before the end of that
+ * read, which began the second term without its fence.
+ */
+Test(joblog, read_for_an_earlier_term_does_not_begin_a_later_one)
+{
+	struct fixture f = { 0 };
+
+	setup(&f, fake_log_create());
+	advance(&f, 100);
+	fake_hold_reads(f.client, TOPIC, JOBLOG_JOBS);
+	joblog_begin_term(f.joblog, 5, on_result, &f);
+	advance(&f, 60);
+	cr_assert_eq(f.results, 0);
+	joblog_end_term(f.joblog);
+	fake_set_mode(f.client, FAKE_LATE);
+	joblog_begin_term(f.joblog, 9, on_result, &f);
+	fake_release_reads(f.client, TOPIC, JOBLOG_JOBS);
+	advance(&f, 400);
+	cr_assert_eq(f.results, 0, "term 9 began without a fence");
+	fake_set_mode(f.client, FAKE_OK);
+	advance(&f, 400);
+	cr_assert_eq(f.results, 1);
+	cr_assert_eq(f.result, STORE_OK);
+	teardown(&f);
+}
+
 Test(joblog, deleted_jobs_leave_the_log)
 {
 	struct fixture f = { 0 };
