--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -472,6 +472,35 @@
 	teardown(&f);
 }
 
+/*
+ * A refresh had read the jobs when the log was loaded again. It ended before the jobs were read for
+ * the second time, so a caller was told that an accepted job does not exist.
+ */
+Test(joblog, refresh_waits_for_a_reload)
+{
+	struct fixture f = { 0 };
+
+	setup(&f, fake_log_create());
+	advance(&f, 100);
+	submit(&f, 2000);
+	advance(&f, 1200);
+	f.results = 0;
+	fake_hold_reads(f.client, TOPIC, JOBLOG_PROGRESS);
+	joblog_refresh(f.joblog, on_result, &f);
+	advance(&f, 60);
+	joblog_begin_term(f.joblog, 5, on_result, &f);
+	joblog_end_term(f.joblog);
+	fake_hold_reads(f.client, TOPIC, JOBLOG_JOBS);
+	fake_release_reads(f.client, TOPIC, JOBLOG_PROGRESS);
+	advance(&f, 60);
+	cr_assert_eq(f.results, 0, "the jobs were not read again");
+	fake_release_reads(f.client, TOPIC, JOBLOG_JOBS);
+	advance(&f, 60);
+	cr_assert_eq(f.results, 1);
+	cr_assert_not_null(job_table_find(joblog_job_table(f.joblog), ID));
+	teardown(&f);
+}
+
 Test(joblog, deleted_jobs_leave_the_log)
 {
 	struct fixture f = { 0 };
