--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -33,6 +33,7 @@
 /* The deletion of a job's own record. */
 struct deletion {
 	struct joblog *log;
+	uint64_t term;
 	char id[JOB_ID_LEN + 1];
 };
 
@@ -182,31 +183,29 @@
 {
 }
 
-/*
- * Without its progress the job would be taken for a new one, so the progress stays until the job is
- * known to be deleted.
- */
+/* A job whose progress is gone, but whose own record is not, would be taken for a new one. */
 static void on_job_deleted(void *ctx, enum store_result result)
 {
-	struct deletion *d = ctx;
+	struct deletion *call = ctx;
+	struct joblog *j = call->log;
 
 	if (result != STORE_OK)
 		log_info("drop", NULL, "an expired job was not deleted; retrying later");
-	else if (d->log->leading)
-		g_ptr_array_add(d->log->progress_deletes, g_strdup_printf("%s/p", d->id));
-	g_free(d);
+	else if (j->leading && call->term == j->term && !job_table_find(j->jobs, call->id))
+		g_ptr_array_add(j->progress_deletes, g_strdup_printf("%s/p", call->id));
+	g_free(call);
 }
 
 void joblog_delete(struct joblog *j, const char *id)
 {
 	int64_t deadline_ms = node_now_ms() + APPEND_MAX_MS;
 	g_autofree char *cancel = g_strdup_printf("%s/c", id);
-	struct deletion *d = g_new(struct deletion, 1);
+	struct deletion *call = g_new(struct deletion, 1);
 
-	d->log = j;
-	g_strlcpy(d->id, id, sizeof(d->id));
+	*call = (struct deletion){ .log = j, .term = j->term };
+	g_strlcpy(call->id, id, sizeof(call->id));
 	joblog_append(j, cancel, NULL, 0, deadline_ms, on_cancel_deleted, j);
-	joblog_append(j, id, NULL, 0, deadline_ms, on_job_deleted, d);
+	joblog_append(j, call->id, NULL, 0, deadline_ms, on_job_deleted, call);
 }
 
 static void end_fencing(struct joblog *j, enum store_result result)
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -501,6 +501,40 @@
 	teardown(&f);
 }
 
+/*
+ * An expired job's progress was deleted although its own record was not. The next scheduler took it
+ * for a new job and ran its tasks again (rules TWICE and BUDGET).
+ */
+Test(joblog, progress_outlives_the_record_of_a_deleted_job)
+{
+	struct fake_log *log = fake_log_create();
+	struct fixture f = { 0 };
+	struct fixture next = { 0 };
+	const struct cell_job *j;
+
+	setup(&f, log);
+	setup(&next, log);
+	advance(&f, 100);
+	submit(&f, 2000);
+	advance(&f, 40);
+	begin_term(&f, 5);
+	joblog_write(f.joblog, 1, progress_batch(JOB_DONE, 1));
+	advance(&f, 40);
+	fake_set_mode(f.client, FAKE_REFUSES);
+	joblog_delete(f.joblog, ID);
+	advance(&f, 1000);
+	fake_set_mode(f.client, FAKE_OK);
+	joblog_write(f.joblog, 2, progress_batch_of("00000000000000b2", JOB_RUNNING, 1));
+	advance(&f, 400);
+	cr_assert_eq(f.written, 2);
+	advance(&next, 100);
+	begin_term(&next, 6);
+	j = job_table_find(joblog_job_table(next.joblog), ID);
+	cr_assert(j && j->state == JOB_DONE, "the job would run again");
+	teardown(&f);
+	teardown(&next);
+}
+
 Test(joblog, deleted_jobs_leave_the_log)
 {
 	struct fixture f = { 0 };
@@ -511,9 +545,16 @@
 	advance(&f, 40);
 	begin_term(&f, 5);
 	cr_assert_not_null(job_table_find(joblog_job_table(f.joblog), ID));
+	joblog_write(f.joblog, 1, progress_batch(JOB_DONE, 1));
+	advance(&f, 40);
 	joblog_delete(f.joblog, ID);
 	advance(&f, 1000);
 	cr_assert_null(job_table_find(joblog_job_table(f.joblog), ID));
+	joblog_write(f.joblog, 2, progress_batch_of("00000000000000b2", JOB_RUNNING, 1));
+	advance(&f, 40);
+	joblog_end_term(f.joblog);
+	advance(&f, 100);
+	cr_assert_eq(job_table_size(joblog_job_table(f.joblog)), 1, "only the other job is left");
 	teardown(&f);
 }
 
