node: grant no leases to runners after the end of a handover

What could happen: a task runs twice (TWICE) because its run on an unreachable runner has a longer lease than the new scheduler expects. Needs a holder that is suspended within its handover, and a runner that reaches it but not its successor.

Cause: a successor expects that a holder which released the lease grants leases for ELECTION_HANDOVER_MS (2 s) at most. The holder steps down by then, but only in a tick of the election. The limit that the scheduler checks before each grant was ELECTION_GRANT_MS (3 s) after the last renewal, released or not, so a process that ran on after a suspension could still grant.

Ruled out: grants of a holder that has not released (its limit is checked before each grant, and its successor counts it from a later time), and orders that were under way while it was suspended (their deadline is absolute).

Change: the election says until when this node may grant, which takes a release into account, and the limit is set again when the lease is released.

Failed before: [----] ../tests/node/test_election.c:366: Assertion Failed [----] The expression (election_grants_end_ms(c[0].election)) <= (election_prior_grants_end_ms(c[1].election)) is false. [FAIL] election::holder_grants_no_leases_after_its_handover: (0.00s)

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -384,9 +384,11 @@
 	       (!e->appending || node_now_ms() - e->append_sent_ms < APPEND_SUSPECT_MS);
 }
 
-int64_t election_renewed_ms(const struct election *e)
+int64_t election_grants_end_ms(const struct election *e)
 {
-	return e->renewed_ms;
+	int64_t end_ms = e->renewed_ms + ELECTION_GRANT_MS;
+
+	return e->releasing ? MIN(end_ms, e->handover_deadline_ms) : end_ms;
 }
 
 int64_t election_prior_grants_end_ms(const struct election *e)
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -46,6 +46,13 @@
 	arm_timer(n, node_now_ms() + COALESCE_MS);
 }
 
+/* A release of the lease limits them too. */
+static void limit_grants(struct node *n)
+{
+	if (n->scheduler)
+		scheduler_grant_until(n->scheduler, election_grants_end_ms(n->election));
+}
+
 /* The scheduler uses more CPU than anything else, so it moves to a VM with much more CPU. */
 static void yield_to_larger_vm(struct node *n, int64_t now)
 {
@@ -59,11 +66,7 @@
 	n->yield_min_ms = now + YIELD_EVERY_MS;
 	log_notice("yield", name, "its VM has more CPU: handing the lease over to it");
 	election_yield(n->election, name);
-}
-
-static int64_t grant_until(const struct node *n)
-{
-	return election_renewed_ms(n->election) + ELECTION_GRANT_MS;
+	limit_grants(n);
 }
 
 static gboolean on_timer(gpointer data)
@@ -76,7 +79,7 @@
 	n->timer = 0;
 	if (!n->scheduler)
 		return G_SOURCE_REMOVE;
-	scheduler_grant_until(n->scheduler, grant_until(n));
+	limit_grants(n);
 	next = scheduler_tick(n->scheduler, now, node_wall_ms());
 	if (now >= n->stats_due_ms) {
 		n->stats_due_ms = now + STATS_EVERY_MS;
@@ -124,7 +127,7 @@
 	n->scheduler =
 		scheduler_create(&conf, joblog_job_table(n->log), &node_scheduler_ops, n, now);
 	n->yield_min_ms = now + YIELD_AFTER_MS;
-	scheduler_grant_until(n->scheduler, grant_until(n));
+	limit_grants(n);
 	scheduler_configure(n->scheduler, n->queues);
 	/* Nodes may have linked before the job log was read. */
 	scheduler_set_advisor_clients(n->scheduler, links_peer_count(n->links) + 1);
@@ -357,6 +360,7 @@
 {
 	n->stopping = true;
 	election_release(n->election, links_pick_successor(n->links));
+	limit_grants(n);
 }
 
 bool node_stopped(const struct node *n)
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -320,6 +320,28 @@
 	}
 }
 
+/*
+ * A holder that has released the lease was frozen until its handover was over. Before it noticed,
+ * it could still grant leases that its successor did not expect.
+ */
+Test(election, holder_grants_no_leases_after_its_handover)
+{
+	struct fake_log *l = fake_log_create();
+	struct candidate c[2] = { 0 };
+
+	create_pair(l, c);
+	cr_assert_gt(election_grants_end_ms(c[0].election),
+		     fake_now_ms + ELECTION_GRANT_MS - ELECTION_RENEW_MS - TICK_MS);
+	election_release(c[0].election, "b");
+	fake_serve(l);
+	while (!c[1].term)
+		advance(l, &c[1], 1, TICK_MS);
+	cr_assert_gt(c[0].term, 0);
+	cr_assert_leq(election_grants_end_ms(c[0].election),
+		      election_prior_grants_end_ms(c[1].election));
+	teardown(l, c, 2);
+}
+
 /*
  * Rolling restart of the VMs with a slow store: release, claim and fence took 2.2 s, during which
  * there was no scheduler. A holder that stops now keeps scheduling until another node claims.
