node: learn of a holder from its renewals when its claim was trimmed

What callers could see: on a cell that is older than the log keeps its records (300 s), each process that starts takes the lease from a healthy scheduler at once. It also expects no leases from it, so that a task on an unreachable runner may run twice (TWICE).

Cause: a renewal was counted only for the term of the last claim that was read. A node that starts after the claim was trimmed has read none, so the lease seemed free.

Change: a renewal or release of a later term than the known one counts as the claim of that term; it names the holder and its address.

Failed before: [----] ../tests/node/test_election.c:338: Assertion Failed [----] The expression (c[1].won) == (0) is false. [FAIL] election::renewals_name_the_holder_when_its_claim_was_trimmed: (0.00s)

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -133,6 +133,9 @@
 			 rec->offset);
 		return;
 	}
+	/* If the claim of this term was trimmed before it was read, its renewals stand for it. */
+	if (m->kind != CELL__LEAD_KIND__CLAIM && m->term > e->term)
+		apply_claim(e, m, m->term);
 	if (m->kind == CELL__LEAD_KIND__CLAIM) {
 		e->holder_heard_ms = node_now_ms();
 		apply_claim(e, m, rec->offset + 1);
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -320,6 +320,32 @@
 	}
 }
 
+/*
+ * A node started when the holder's claim was trimmed from the log, found only renewals of a term
+ * that it did not know, and took the lease from a scheduler that was alive, which it did not expect
+ * to grant any more leases (TWICE).
+ */
+Test(election, renewals_name_the_holder_when_its_claim_was_trimmed)
+{
+	struct fake_log *l = fake_log_create();
+	struct candidate c[2] = { 0 };
+
+	candidate_create(&c[0], l, "a");
+	advance(l, c, 1, 5000);
+	fake_trim(l, "lead", 0, 3);
+	candidate_create(&c[1], l, "b");
+	advance(l, c, 2, 5000);
+	cr_assert_eq(c[1].won, 0);
+	cr_assert_gt(c[0].term, 0);
+	cr_assert_str_eq(c[1].holder, "a");
+	fake_drop_calls(c[0].client);
+	g_clear_pointer(&c[0].election, election_destroy);
+	while (!c[1].term)
+		advance(l, c, 2, TICK_MS);
+	cr_assert_gt(election_prior_grants_end_ms(c[1].election), fake_now_ms);
+	teardown(l, c, 2);
+}
+
 /*
  * A holder that has released the lease was frozen until its handover was over. Before it noticed,
  * it could still grant leases that its successor did not expect.
