--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -182,6 +182,13 @@
 	return find_part(l, part_key)->rec->len;
 }
 
+uint64_t fake_epoch(struct fake_log *l, const char *topic, uint32_t part)
+{
+	g_autofree char *part_key = make_part_key(topic, part);
+
+	return find_part(l, part_key)->epoch;
+}
+
 uint32_t fake_append_calls(const struct fake_client *c)
 {
 	return c->appends;
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -54,6 +54,8 @@
 /* fake_add_record - adds a record as another client would. */
 void fake_add_record(struct fake_log *l, const char *topic, uint32_t part, const char *key,
 		     const uint8_t *value, size_t size);
+/* fake_epoch - newest epoch of a producer that the partition has seen, 0 for none. */
+uint64_t fake_epoch(struct fake_log *l, const char *topic, uint32_t part);
 uint32_t fake_record_count(struct fake_log *l, const char *topic, uint32_t part);
 /* fake_append_calls - number of append calls of this client, including failed ones. */
 uint32_t fake_append_calls(const struct fake_client *c);
