node: learn the holder of the lease from its renewals

Cause: the holder of the lease was read from its claim only. The store drops old records, so the claim is gone after keep_s although the holder renews. A node that starts then found no holder: it took the lease for vacant and claimed at once, and, as it knew of no earlier holder, it expected no leases from one (prior_grants_end of 0 instead of 3 s).

If records were dropped before they were read, the holders in them may grant leases for the usual time, and an unknown last one is waited for as if it had just renewed.

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -23,10 +23,11 @@
 	const struct election_ops *ops;
 	void *ctx;
 	guint timer;
-	uint64_t next_offset;	      /* offset to read from: the known end of the log */
-	char *holder;		      /* self of the holder, NULL for none */
-	bool holder_released;	      /* the holder has released the lease */
-	int64_t reserved_until_ms;    /* until then only the named successor may claim */
+	uint64_t next_offset;	   /* offset to read from: the known end of the log */
+	char *holder;		   /* self of the holder, NULL for none */
+	bool holder_unknown;	   /* its claim was trimmed from the log, and no renewal read yet */
+	bool holder_released;	   /* the holder has released the lease */
+	int64_t reserved_until_ms; /* until then only the named successor may claim */
 	int64_t handover_deadline_ms; /* this node stops scheduling by then */
 	char *successor;	      /* named in the release */
 	uint64_t term;
@@ -62,7 +63,7 @@
 /* Whether the holder is an earlier process of this node. */
 static bool holder_is_predecessor(const struct election *e)
 {
-	return other_process_of_node(e->self, e->holder);
+	return e->holder && other_process_of_node(e->self, e->holder);
 }
 
 /* A holder that may still run grants leases to runners until it notices that it was replaced. */
@@ -73,6 +74,7 @@
 
 	e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, node_now_ms() + left_ms);
 	e->holder_released = false;
+	e->holder_unknown = false;
 	g_free(e->holder);
 	e->holder = g_strdup(by);
 }
@@ -101,20 +103,23 @@
 	e->ops->lost(e->ctx, why);
 }
 
-static void apply_claim(struct election *e, const Cell__Lead *m, uint64_t term)
+static void apply_holder(struct election *e, const Cell__Lead *m, uint64_t term)
 {
-	if (g_str_equal(m->node, e->self) && !e->releasing) {
-		/* The answer to this node's own claim was lost. */
-		if (!e->leading)
-			become_leader(e, term, e->append_sent_ms);
-		return;
-	}
 	step_down(e, "another node has claimed the lease");
 	replace_holder(e, m->node);
 	e->term = term;
 	e->ops->holder_changed(e->ctx, m->address, term);
 }
 
+/* If this node's own claim is read while it doesn't lead, the answer to it was lost. */
+static void apply_claim(struct election *e, const Cell__Lead *m, uint64_t term)
+{
+	if (!g_str_equal(m->node, e->self) || e->releasing)
+		apply_holder(e, m, term);
+	else if (!e->leading)
+		become_leader(e, term, e->append_sent_ms);
+}
+
 /* The holder keeps scheduling until another node claims the lease, so it stays the holder here. */
 static void apply_release(struct election *e, const Cell__Lead *m)
 {
@@ -133,9 +138,10 @@
 			 rec->offset);
 		return;
 	}
-	/* If the claim of this term was trimmed before it was read, its renewals stand for it. */
-	if (m->kind != CELL__LEAD_KIND__CLAIM && m->term > e->term)
-		apply_claim(e, m, m->term);
+	/* The claim of this term was trimmed before it was read. */
+	if (m->kind != CELL__LEAD_KIND__CLAIM && m->term > e->term &&
+	    !g_str_equal(m->node, e->self))
+		apply_holder(e, m, m->term);
 	if (m->kind == CELL__LEAD_KIND__CLAIM) {
 		e->holder_heard_ms = node_now_ms();
 		apply_claim(e, m, rec->offset + 1);
@@ -147,6 +153,15 @@
 	cell__lead__free_unpacked(m, NULL);
 }
 
+/* The holders named in these records are not known, and the last one may still renew. */
+static void skip_trimmed(struct election *e, uint64_t oldest_offset, int64_t now)
+{
+	e->next_offset = MAX(oldest_offset, e->next_offset);
+	e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, now + ELECTION_GRANT_MS);
+	e->holder_unknown = !e->holder;
+	e->holder_heard_ms = now;
+}
+
 static void on_read(void *ctx, enum store_result result, const struct store_page *page)
 {
 	struct election *e = ctx;
@@ -154,7 +169,7 @@
 
 	e->reading = false;
 	if (result == STORE_TRIMMED) {
-		e->next_offset = MAX(page->oldest_offset, e->next_offset);
+		skip_trimmed(e, page->oldest_offset, now);
 		return;
 	}
 	if (result != STORE_OK) {
@@ -251,7 +266,7 @@
 
 	if (!e->caught_up || !e->store_up_since_ms || e->releasing)
 		return false;
-	if (!e->holder || holder_is_predecessor(e) ||
+	if ((!e->holder && !e->holder_unknown) || holder_is_predecessor(e) ||
 	    (e->holder_released && now >= e->reserved_until_ms))
 		return !e->low_priority ||
 		       (e->vacant_since_ms && now - e->vacant_since_ms > ELECTION_LOW_PRIORITY_MS);
@@ -285,7 +300,7 @@
 {
 	int64_t now = node_now_ms();
 
-	if (e->holder && !e->holder_released && !holder_is_predecessor(e))
+	if (e->holder_unknown || (e->holder && !e->holder_released && !holder_is_predecessor(e)))
 		e->vacant_since_ms = 0;
 	else if (!e->vacant_since_ms)
 		e->vacant_since_ms = now;
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -532,3 +532,79 @@
 	cr_assert_gt(c[0].term, 0);
 	teardown(l, c, 1);
 }
+
+/*
+ * The store keeps records for some minutes, so the claim of a holder that has renewed for longer is
+ * gone. A node that started then took the lease for free: it claimed at once, and believed that no
+ * earlier holder grants leases (rules TWICE and ONE).
+ */
+Test(election, holder_whose_claim_was_trimmed_keeps_the_lease)
+{
+	static const uint32_t keep[] = { 1, 3 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keep); i++) {
+		struct fake_log *l = fake_log_create();
+		struct candidate c[2] = { 0 };
+
+		candidate_create(&c[0], l, "a/1");
+		advance(l, c, 1, 5000);
+		fake_trim(l, "lead", 0, fake_record_count(l, "lead", 0) - keep[i]);
+		candidate_create(&c[1], l, "b/1");
+		advance(l, c, 2, 3000);
+		cr_expect_eq(c[1].won, 0, "case %zu", i);
+		cr_expect_str_eq(c[1].holder, "a/1", "case %zu", i);
+		fake_drop_calls(c[0].client);
+		g_clear_pointer(&c[0].election, election_destroy);
+		advance(l, c, 2, ELECTION_LEASE_MS + 500);
+		cr_expect_eq(c[1].won, 1, "case %zu", i);
+		cr_expect_geq(election_prior_grants_end_ms(c[1].election),
+			      fake_now_ms - 500 - TICK_MS + ELECTION_GRANT_MS, "case %zu", i);
+		teardown(l, c, 2);
+	}
+}
+
+/* The same while a node follows: it was cut off while the lease changed hands and was trimmed. */
+Test(election, trimmed_claim_of_a_newer_holder_is_learnt_from_its_renewals)
+{
+	struct fake_log *l = fake_log_create();
+	struct candidate c[3] = { 0 };
+
+	candidate_create(&c[0], l, "a/1");
+	advance(l, c, 1, 500);
+	candidate_create(&c[2], l, "c/1");
+	advance(l, c, 3, 1000);
+	fake_drop_calls(c[0].client);
+	g_clear_pointer(&c[0].election, election_destroy);
+	fake_set_mode(c[2].client, FAKE_REFUSES);
+	candidate_create(&c[1], l, "b/1");
+	advance(l, c, 3, 5000);
+	cr_assert_gt(c[1].term, 0);
+	fake_trim(l, "lead", 0, fake_record_count(l, "lead", 0) - 1);
+	fake_set_mode(c[2].client, FAKE_OK);
+	advance(l, c, 3, 10000);
+	cr_expect_eq(c[2].won, 0);
+	cr_expect_str_eq(c[2].holder, "b/1");
+	cr_expect_gt(c[1].term, 0);
+	teardown(l, c, 3);
+}
+
+/* All holders before the oldest record are unknown, and may still grant leases. */
+Test(election, holders_of_a_trimmed_log_may_grant_leases)
+{
+	struct fake_log *l = fake_log_create();
+	struct candidate c[2] = { 0 };
+	int64_t started_ms;
+
+	candidate_create(&c[0], l, "a/1");
+	advance(l, c, 1, 500);
+	fake_drop_calls(c[0].client);
+	g_clear_pointer(&c[0].election, election_destroy);
+	fake_trim(l, "lead", 0, fake_record_count(l, "lead", 0));
+	started_ms = fake_now_ms;
+	candidate_create(&c[1], l, "b/1");
+	while (!c[1].term)
+		advance(l, c, 2, TICK_MS);
+	cr_expect_geq(election_prior_grants_end_ms(c[1].election), started_ms + ELECTION_GRANT_MS);
+	cr_expect_geq(fake_now_ms, started_ms + ELECTION_LEASE_MS, "one of them may renew");
+	teardown(l, c, 2);
+}
