--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -6,6 +6,7 @@
 #include "rawserver.h"
 
 #define TIMEOUT_MS   2000
+#define LARGE_BYTES  33554432
 #define SILENCE_MS   150
 #define TEXT(status) "HTTP/1.1 " status "\r\nContent-Length: 2\r\n\r\n{}"
 #define OK	     TEXT("200 OK")
@@ -250,3 +251,49 @@
 	}
 	client_destroy(c);
 }
+
+/* A full accept queue drops connection requests: the call ends without having sent anything. */
+Test(client, reports_a_connection_that_was_never_made_as_not_sent)
+{
+	g_autoptr(GInetAddress) ip = g_inet_address_new_from_string(RAW_HOST);
+	g_autoptr(GSocketAddress) any = g_inet_socket_address_new(ip, 0);
+	g_autoptr(GSocketAddress) own = NULL;
+	GSocket *full = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, NULL);
+	struct client *c = client_create();
+	GSocket *first;
+	uint16_t port;
+
+	g_socket_set_listen_backlog(full, 0);
+	cr_assert(g_socket_bind(full, any, TRUE, NULL) && g_socket_listen(full, NULL));
+	own = g_socket_get_local_address(full, NULL);
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(own));
+	first = raw_connect(port);
+	for (size_t k = 0; k < G_N_ELEMENTS(calls); k++) {
+		struct exchange x = call(c, NULL, port, calls[k].method, calls[k].body, SILENCE_MS);
+
+		cr_expect_eq(x.status, 0);
+		cr_expect(!x.sent, "%s: sent", calls[k].name);
+	}
+	raw_close(first, false);
+	raw_close(full, false);
+	client_destroy(c);
+}
+
+/* A body that doesn't fit into the socket's buffers is sent in part. */
+Test(client, reports_a_body_that_is_sent_in_part_as_sent)
+{
+	static const struct raw_step steps[] = { { RAW_ANSWER, OK } };
+	g_autofree char *text = g_strnfill(LARGE_BYTES, 'x');
+	struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+	struct client *c = client_create();
+	struct exchange x;
+
+	/* The server isn't served, so it reads nothing. */
+	x = call(c, NULL, raw_server_port(s), "POST", text, SILENCE_MS);
+	cr_expect_eq(x.status, 0);
+	cr_expect(x.sent);
+	cr_expect_eq(raw_server_requests(s), 0);
+	client_destroy(c);
+	raw_server_destroy(s);
+}
