tests: hung, preempted and many ends in the simulation

Runs may hang now (no usage, no end), steps may have checkpoints so that they are preempted, a run that would end before its stop ends by itself, and a reply lists 500 ends at most. Two cases use that.

--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -12,6 +12,7 @@
 #define LEASE_CAP_MS	     10000
 #define OLD_SCHEDULER_MAX_MS 7000 /* longest time that a replaced scheduler goes on */
 #define APPEND_MS	     12
+#define OBJECTIVE_MS	     30000 /* of jobs with checkpoints, so that they may be preempted */
 #define JOB_READ_MS	     300   /* between reads of the jobs */
 #define FAULT_FREE_MS	     60000 /* phase without faults at the end, so that all jobs can end */
 
@@ -394,6 +395,11 @@
 	step[1].cpu_milli = sim_around(s, s->conf->task_cpu_milli);
 	step[1].after = &after;
 	step[1].n_after = 1;
+	if (s->conf->checkpoint_milli) {
+		m.objective_ms = OBJECTIVE_MS;
+		step[0].checkpoints = sim_chance(s, s->conf->checkpoint_milli);
+		step[1].checkpoints = sim_chance(s, s->conf->checkpoint_milli);
+	}
 	size = cell__job__get_packed_size(&m);
 	buf = g_malloc(size);
 	cell__job__pack(&m, buf);
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -16,19 +16,21 @@
 	uint64_t seed;
 	uint32_t runners;
 	uint32_t jobs;
-	uint32_t job_every_ms;	  /* mean */
-	uint32_t tasks;		  /* of a step, mean */
-	uint32_t task_ms;	  /* run time, mean */
-	uint32_t task_cpu_milli;  /* mean; a runner has 32,000 */
-	uint32_t gang_milli;	  /* share of jobs; all shares are in 1/1000 */
-	uint32_t cancel_milli;	  /* share of jobs */
-	uint32_t fail_milli;	  /* share of runs */
-	uint32_t poison_milli;	  /* share of jobs whose runs all fail */
-	uint32_t write_ms;	  /* time to store progress; 0 for a fast store */
-	uint32_t store_ms;	  /* time to store a job, mean; 0 for none */
-	uint32_t attempts;	  /* of a job, at most; 0 for 8 in all jobs */
-	uint32_t late_poll_milli; /* share of polls carried out 2 to 12 s late */
-	uint32_t lost_milli;	  /* share of orders carried out, but without an answer */
+	uint32_t job_every_ms;	   /* mean */
+	uint32_t tasks;		   /* of a step, mean */
+	uint32_t task_ms;	   /* run time, mean */
+	uint32_t task_cpu_milli;   /* mean; a runner has 32,000 */
+	uint32_t gang_milli;	   /* share of jobs; all shares are in 1/1000 */
+	uint32_t cancel_milli;	   /* share of jobs */
+	uint32_t fail_milli;	   /* share of runs */
+	uint32_t poison_milli;	   /* share of jobs whose runs all fail */
+	uint32_t write_ms;	   /* time to store progress; 0 for a fast store */
+	uint32_t store_ms;	   /* time to store a job, mean; 0 for none */
+	uint32_t hang_milli;	   /* share of runs that hang */
+	uint32_t checkpoint_milli; /* share of steps with checkpoints, which may be preempted */
+	uint32_t attempts;	   /* of a job, at most; 0 for 8 in all jobs */
+	uint32_t late_poll_milli;  /* share of polls carried out 2 to 12 s late */
+	uint32_t lost_milli;	   /* share of orders carried out, but without an answer */
 	uint32_t late_milli; /* share of orders carried out 2 to 12 s late, without an answer */
 	uint32_t replace_every_ms; /* replacement of the scheduler; 0 for never */
 	uint32_t silent_every_ms;  /* a runner stops answering for seconds; 0 for never */
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -4,7 +4,9 @@
 #include "sim_priv.h"
 
 #define TIMEOUT_MS    600
+#define LIST_MAX      500 /* ends in one reply */
 #define WAIT_EXTRA_MS 800
+#define HANG_MS	      20000
 #define LATE_MIN_MS   2000
 #define LATE_MORE_MS  10000
 #define SLOW_MILLI    20 /* by which a runner's clock is slow, in 1/1000 */
@@ -20,7 +22,9 @@
 	int64_t work_ms;
 	int64_t started_ms;
 	bool fails;
+	bool hangs;
 	bool stopping;
+	bool ends_itself; /* before it is stopped */
 };
 
 struct sim_end {
@@ -189,7 +193,7 @@
 		if (t->end_ms > s->now_ms)
 			continue;
 		gang = g_strdup(t->gang);
-		end_task(s, r, i - 1, t->stopping ? END_STOPPED : how);
+		end_task(s, r, i - 1, t->stopping && !t->ends_itself ? END_STOPPED : how);
 		if (gang)
 			end_gang(s, gang, run, how == END_DONE ? END_DONE : END_GANG_BROKEN);
 		i = MIN(i, r->task->len + 1);
@@ -318,6 +322,9 @@
 	t->work_ms = sim_around(s, s->conf->task_ms);
 	t->end_ms = o->gang ? INT64_MAX : s->now_ms + t->work_ms;
 	t->fails = sim_chance(s, s->conf->fail_milli) || job_of_task(s, t->name)->is_poisoned;
+	t->hangs = s->conf->hang_milli && !o->gang && sim_chance(s, s->conf->hang_milli);
+	if (t->hangs)
+		t->end_ms = s->now_ms + HANG_MS;
 	s->result->starts++;
 	check_start(s, r, t);
 	r->lease_ms = MAX(r->lease_ms, o->deadline_ms);
@@ -409,10 +416,14 @@
 		for (guint i = 0; i < r->task->len; i++) {
 			struct sim_task *t = r->task->pdata[i];
 
+			int64_t stopped_ms;
+
 			if (!g_str_equal(t->name, o->task) || t->run != o->run || t->stopping)
 				continue;
 			t->stopping = true;
-			t->end_ms = s->now_ms + sim_pick(s, STOP_MS);
+			stopped_ms = s->now_ms + sim_pick(s, STOP_MS);
+			t->ends_itself = t->end_ms <= stopped_ms;
+			t->end_ms = MIN(t->end_ms, stopped_ms);
 		}
 		o->delivered = !o->no_answer;
 	}
@@ -474,9 +485,10 @@
 				(struct poll_running){ .task = add_name(c, t->name),
 						       .run = t->run,
 						       .checkpoint = "",
-						       .usage = (uint32_t)t->cpu_milli };
+						       .usage = t->hangs ? 0
+									 : (uint32_t)t->cpu_milli };
 	}
-	for (guint i = 0; i < r->end->len; i++) {
+	for (guint i = 0; i < r->end->len && i < LIST_MAX; i++) {
 		const struct sim_end *e = r->end->pdata[i];
 
 		ended[c->reply.n_ended++] = (struct poll_ended){ .seq = e->seq,
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -67,6 +67,28 @@
 	return c;
 }
 
+static struct sim_conf with_stops(struct sim_conf c)
+{
+	c = with_poison(c, 0);
+	c.hang_milli = 100;
+	c.checkpoint_milli = 700;
+	c.job_every_ms = 250;
+	c.jobs = 100;
+	return c;
+}
+
+static struct sim_conf with_small_tasks(struct sim_conf c)
+{
+	c = with_poison(c, 0);
+	c.runners = 1;
+	c.jobs = 12;
+	c.job_every_ms = 1000;
+	c.tasks = 500;
+	c.task_ms = 200;
+	c.task_cpu_milli = 10;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -121,6 +143,10 @@
 		  8 },
 		{ "jobs are stored slowly",
 		  with_slow_store(faults(50, 30, 0, 800, 0, 0, 200, 0, 0)), 8 },
+		{ "poison, stops of hung and preempted runs",
+		  with_stops(faults(50, 50, 0, 3000, 2500, 0, 200, 50, 0)), 8 },
+		{ "poison, hundreds of ends at once",
+		  with_small_tasks(faults(50, 50, 0, 3000, 0, 0, 0, 0, 0)), 2 },
 		{ "poison, late polls",
 		  with_poison(faults(50, 50, 0, 3000, 1500, 0, 300, 50, 0), 30), 6 },
 	};
