node: take only the answer to a claim for a won lease

What callers could see: a scheduler more often replaced than needed, and a node that grants leases for up to a second longer than the next scheduler expects (TWICE, if a runner is out of reach of that one).

Cause: an append that was acknowledged while the node did not hold the lease counted as its claim. But the append may be a renewal or a release that was in flight when the node stepped down (a newer term was seen by a runner or by the job log, or its handover ended). The node then was the scheduler of a term of which no other node knew, and which the others ended 2 s later.

Change: the kind of the append in flight is kept, and only a claim wins the lease.

Failed before: [----] ../tests/node/test_election.c:483: Assertion Failed [----] case 0 [----] ../tests/node/test_election.c:483: Assertion Failed [----] case 1 [FAIL] election::answer_to_a_renewal_or_release_wins_nothing: (0.00s)

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -43,7 +43,8 @@
 	int64_t holder_heard_ms;   /* last claim or renewal that was read */
 	int64_t store_up_since_ms; /* 0 while the store does not answer */
 	int64_t append_sent_ms;	   /* of the append in flight */
-	int64_t renewed_ms;	   /* when the last acknowledged renewal was sent */
+	Cell__LeadKind append_kind;
+	int64_t renewed_ms; /* when the last acknowledged renewal was sent */
 	int64_t retry_ms;
 	uint32_t jitter_ms;
 	bool low_priority;
@@ -228,10 +229,11 @@
 		return;
 	}
 	e->next_offset = offset + 1;
-	if (!e->leading)
-		become_leader(e, offset + 1, e->append_sent_ms);
-	else
+	/* A renewal or release may be answered after this node has stepped down. */
+	if (e->leading)
 		e->renewed_ms = e->append_sent_ms;
+	else if (e->append_kind == CELL__LEAD_KIND__CLAIM)
+		become_leader(e, offset + 1, e->append_sent_ms);
 }
 
 static void append(struct election *e, Cell__LeadKind kind)
@@ -254,6 +256,7 @@
 	rec.value = buf;
 	g_ptr_array_add(records, &rec);
 	e->appending = true;
+	e->append_kind = kind;
 	e->append_sent_ms = node_now_ms();
 	e->store.ops->append(e->store.impl, TOPIC, 0, records, &cond, APPEND_TIMEOUT_MS,
 			     on_appended, e);
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -457,6 +457,38 @@
 	teardown(l, c, 2);
 }
 
+/*
+ * A node stepped down while its renewal or release was in flight. The answer was taken for that to
+ * a claim: the node became the scheduler of a term of which no other node knew.
+ */
+Test(election, answer_to_a_renewal_or_release_wins_nothing)
+{
+	for (int yields = 0; yields < 2; yields++) {
+		struct fake_log *l = fake_log_create();
+		struct candidate c[2] = { 0 };
+
+		create_pair(l, c);
+		fake_now_ms += ELECTION_RENEW_MS;
+		if (yields)
+			election_yield(c[0].election, "b");
+		else
+			election_tick(c[0].election);
+		fake_hold_appends(c[0].client);
+		if (yields)
+			fake_now_ms += ELECTION_HANDOVER_MS;
+		election_superseded(c[0].election, "test");
+		cr_assert_eq(c[0].term, 0);
+		fake_release_appends(c[0].client);
+		fake_serve(l);
+		cr_expect_eq(c[0].term, 0, "case %d", yields);
+		advance(l, c, 2, 3000);
+		cr_expect_eq(count_leaders(c, 2), 1, "case %d", yields);
+		advance(l, c, 2, 10000);
+		cr_expect_eq(c[0].won + c[1].won, 2, "case %d", yields);
+		teardown(l, c, 2);
+	}
+}
+
 Test(election, named_successor_claims_first)
 {
 	struct fake_log *l = fake_log_create();
