--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -127,6 +127,8 @@
 		{ "silent runners", faults(20, 0, 0, 0, 1500, 0, 200, 50, 0), 6 },
 		{ "restarted runners", faults(20, 20, 20, 0, 1500, 600, 200, 50, 0), 6 },
 		{ "replaced schedulers", faults(20, 0, 0, 4000, 0, 0, 200, 100, 0), 8 },
+		{ "replaced every second", faults(20, 50, 30, 1000, 2500, 300, 200, 100, 0), 6 },
+		{ "replaced at once", faults(50, 100, 60, 300, 1500, 300, 300, 100, 0), 6 },
 		{ "all together", faults(20, 50, 30, 3000, 2500, 300, 200, 100, 0), 12 },
 		{ "all together, with advice", faults(20, 50, 30, 3000, 2500, 300, 200, 100, 60),
 		  8 },
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -425,3 +425,49 @@
 		fixture_destroy(f);
 	}
 }
+
+/*
+ * A scheduler is lost after it has started some members of a gang. Those that run are adopted and
+ * stopped, and no member starts again while one of the earlier run may exist.
+ */
+Test(scheduler, takeover_of_a_gang_of_which_a_part_was_started)
+{
+	struct fixture *f = fixture_default(1, 3000);
+	const struct poll_running rows[] = {
+		{ .task = ID_A ".0.0.0", .run = 1, .checkpoint = "", .usage = 100 },
+		{ .task = ID_A ".0.0.1", .run = 1, .checkpoint = "", .usage = 100 },
+	};
+	const struct poll_ended ends[] = {
+		{ .seq = 1, .task = ID_A ".0.0.0", .run = 1, .end = END_STOPPED, .checkpoint = "" },
+		{ .seq = 2, .task = ID_A ".0.0.1", .run = 1, .end = END_STOPPED, .checkpoint = "" },
+	};
+	Cell__Job *job = fixture_new_job(ID_A, "urgent", 3, 600);
+	const struct cell_job *j;
+
+	job->step[0]->gang = true;
+	fixture_submit(f, job);
+	fixture_advance(f, 1);
+	restart_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 3000, 0);
+	fixture_advance(f, 1);
+	fixture_poll_answer(f, "r0", rows, 2, NULL, 0);
+	fixture_advance(f, 1001);
+	fixture_poll_answer(f, "r0", rows, 2, NULL, 0);
+	fixture_advance(f, 1);
+	fixture_poll_answer(f, "r0", rows, 2, NULL, 0);
+	fixture_advance(f, 1);
+	j = fixture_find_job(f, ID_A);
+	cr_expect_eq(f->stop->len, 2, "the third was never started");
+	fixture_poll_answer(f, "r0", &rows[1], 1, ends, 1);
+	fixture_advance(f, 1);
+	cr_expect_null(j->task[0].live_run);
+	cr_expect_not_null(j->task[1].live_run);
+	cr_expect_eq(j->task[0].last_run, 1, "a member of the earlier run lives");
+	while (fixture_ack_batch(f))
+		;
+	fixture_poll_answer(f, "r0", NULL, 0, ends, 2);
+	fixture_advance(f, 1);
+	for (int i = 0; i < 3; i++)
+		cr_expect_eq(j->task[i].last_run, 2, "member %d", i);
+	fixture_destroy(f);
+}
