cell: find all expired jobs before the first one is deleted

What callers could see: the scheduler's process may end or skip jobs, 120 s after jobs have ended.

Cause: the search of the job table called expire() for each job that it found. That queues an append, which ends appends past their deadline, and a job that was not stored then is dropped from the table that is being searched.

Failed before: scheduler::jobs_are_dropped_while_others_expire, "1 expired" of 50, with GLib's "g_hash_table_iter_next: assertion failed".

Change: the ids are collected first. Found by the review of takeovers.

--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -324,13 +324,30 @@
 	send_planned(s);
 }
 
+struct expired {
+	const struct scheduler *scheduler;
+	GPtrArray *id;
+};
+
 static void find_expired(void *ctx, struct cell_job *j)
 {
-	struct scheduler *s = ctx;
+	const struct expired *e = ctx;
+	const struct scheduler *s = e->scheduler;
 
 	if (cell_job_has_ended(j) && j->stored_state == j->state && !j->listed && !j->dirty &&
 	    j->ended_ms + (int64_t)s->conf.status_keep_ms < s->wall_ms)
-		s->ops->expire(s->ctx, j->id);
+		g_ptr_array_add(e->id, g_strdup(j->id));
+}
+
+/* Deleting a job may drop others from the table, so all are found first. */
+static void expire_jobs(struct scheduler *s)
+{
+	g_autoptr(GPtrArray) id = g_ptr_array_new_with_free_func(g_free);
+	struct expired e = { .scheduler = s, .id = id };
+
+	job_table_each(s->jobs, find_expired, &e);
+	for (guint i = 0; i < id->len; i++)
+		s->ops->expire(s->ctx, id->pdata[i]);
 }
 
 int64_t scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms)
@@ -346,7 +363,7 @@
 	next = progress_write(s, next);
 	if (now_ms >= s->next_expiry_ms) {
 		s->next_expiry_ms = now_ms + EXPIRE_EVERY_MS;
-		job_table_each(s->jobs, find_expired, s);
+		expire_jobs(s);
 	}
 	return next;
 }
--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -66,6 +66,11 @@
 
 static void expire_op(void *ctx, const char *id)
 {
+	struct fixture *f = ctx;
+
+	f->expired++;
+	for (guint i = 0; f->withdraw && i < f->withdraw->len; i++)
+		job_table_drop_tentative(f->jobs, f->withdraw->pdata[i]);
 }
 
 static void fenced_op(void *ctx, const char *by)
--- a/tests/cell/fixture.h
+++ b/tests/cell/fixture.h
@@ -55,6 +55,9 @@
 	uint32_t fenced;
 	uint32_t starts; /* start orders so far */
 	uint32_t advice_requests;
+	uint32_t expired;    /* jobs that may be deleted */
+	GPtrArray *withdraw; /* ids of tentative jobs that are dropped when a job expires; NULL for
+				none */
 };
 
 struct fixture *fixture_create(void);
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -534,3 +534,37 @@
 	cr_expect_eq(f->batch, 0, "further starts need no record of their own");
 	fixture_destroy(f);
 }
+
+/*
+ * Guards against a job table that changes while it is searched: deleting an expired job may end an
+ * append of another job, which is then dropped from the table.
+ */
+Test(scheduler, jobs_are_dropped_while_others_expire)
+{
+	enum { ENDED = 50, TENTATIVE = 900 };
+	struct fixture *f = fixture_default(1, 1000);
+	g_autoptr(GPtrArray) withdraw = g_ptr_array_new_with_free_func(g_free);
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	uint8_t buf[64];
+
+	m.state = JOB_DONE;
+	m.ended_ms = 1;
+	for (int i = 0; i < ENDED; i++) {
+		g_autofree char *id = g_strdup_printf("%016x", 0xe000 + i);
+		g_autofree char *key = g_strdup_printf("%s/p", id);
+
+		job_table_apply(f->jobs, key, buf, cell__progress__pack(&m, buf));
+		fixture_submit(f, fixture_new_job(id, "urgent", 1, 600));
+	}
+	for (int i = 0; i < TENTATIVE; i++) {
+		char *id = g_strdup_printf("%016x", 0x70000 + i);
+
+		fixture_submit_tentative(f, fixture_new_job(id, "urgent", 1, 2000));
+		g_ptr_array_add(withdraw, id);
+	}
+	f->withdraw = withdraw;
+	fixture_advance(f, 5000);
+	cr_expect_eq(f->expired, ENDED, "%u expired", f->expired);
+	cr_expect_eq(job_table_size(f->jobs), ENDED);
+	fixture_destroy(f);
+}
