node: count calls from a random number, as older nodes mix links up

A node of the release before answers an order of the earlier scheduler on the link to the next one. That one took the reply for its own order if it had sent an order of the same kind and number to the same node. A scheduler of the release before may answer the append of a lost node to another one that is at the same address in memory, where the same number may belong to another append. All processes counted their calls from 1.

Change: each process counts calls from a random number (its upper 32 bits), for orders, advice, appends and state queries. Replies only return the number, so this holds with processes of any release. A term or runner in the reply would not help, as older nodes don't send it.

--- a/packages/node/connection/links.c
+++ b/packages/node/connection/links.c
@@ -69,6 +69,11 @@
 	return l;
 }
 
+uint64_t links_first_call(void)
+{
+	return (uint64_t)g_random_int() << 32;
+}
+
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st)
 {
 	g_autoptr(GInetAddress) inet = g_inet_address_new_from_string(ip);
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -13,7 +13,7 @@
  * it to send orders for runners and requests for advice.
  *
  * Each process numbers its calls by itself, so a reply is valid only on the link on which the call
- * came. Links are identified by numbers that are not reused.
+ * came, and each counts from another number. Links are identified by numbers that are not reused.
  */
 struct links;
 struct peer;
@@ -56,6 +56,11 @@
 struct links *links_create(const char *self, const char *dc, uint32_t cpu_milli,
 			   const struct links_ops *ops, void *ctx);
 void links_destroy(struct links *l);
+/*
+ * links_first_call - a random number to count calls from. Nodes of earlier releases answer a call
+ * on another link than that on which it came, so the number has to be unknown to other processes.
+ */
+uint64_t links_first_call(void);
 /* links_listen - listens on ip and port; returns false with the reason in st. */
 bool links_listen(struct links *l, const char *ip, uint16_t port, struct status *st);
 /* links_set_scheduler - keeps a link to address ("IP:PORT"), or to none if it is "". */
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -275,6 +275,7 @@
 void uplink_create(struct links *l)
 {
 	l->call = g_array_new(FALSE, FALSE, sizeof(struct uplink_call));
+	l->next_call = links_first_call();
 }
 
 void uplink_destroy(struct links *l)
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -336,6 +336,7 @@
 	n->ops = ops;
 	n->ctx = ctx;
 	n->self = g_strdup_printf("%s/%" G_GINT64_FORMAT, conf->name, g_get_real_time());
+	n->next_call = links_first_call();
 	n->advice_call = g_hash_table_new_full(NULL, NULL, NULL, node_advice_call_free);
 	n->links = links_create(n->self, conf->dc, conf->cpu_milli, &links_ops, n);
 	n->relay = relay_create(runners, n->links);
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -378,6 +378,7 @@
 	r->runners = *runners;
 	r->links = links;
 	r->sent = g_hash_table_new(NULL, NULL);
+	r->next_call = links_first_call();
 	r->timer = g_timeout_add(TICK_MS, on_tick, r);
 	return r;
 }
--- a/tests/node/endpoint.c
+++ b/tests/node/endpoint.c
@@ -53,6 +53,9 @@
 {
 	struct endpoint *e = ctx;
 
+	e->last_link = link;
+	if (m->body_case == KW__ENVELOPE__BODY_LOOK_ORDER)
+		e->last_call = m->look_order->call;
 	if (!e->ignores_orders)
 		relay_handle_order(e->relay, link, m);
 }
--- a/tests/node/test_relay.c
+++ b/tests/node/test_relay.c
@@ -178,3 +178,51 @@
 	endpoint_close(&after);
 	endpoint_close(&before);
 }
+
+/*
+ * Guards against the same fault with nodes of the release before, which answer every order on the
+ * link that they have then: the reply to the earlier scheduler's order had the number of an order
+ * that the next scheduler had sent to the same node.
+ */
+Test(relay, reply_of_an_older_release_to_an_earlier_scheduler_is_not_delivered)
+{
+	static const struct runner_ops slow_ops = { .poll = hold_poll };
+	struct slow_runner runner = { 0 };
+	const struct runner_client slow = { .ops = &slow_ops, .impl = &runner };
+	const struct poll_order first = { .route = { .dc = "dc" }, .runner = "r1" };
+	const struct poll_order second = { .route = { .dc = "dc" },
+					   .runner = "r2",
+					   .timeout_ms = 5000 };
+	struct endpoint before = { 0 };
+	struct endpoint after = { 0 };
+	struct endpoint node = { .runners = &slow };
+	g_autoptr(GArray) got = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LookReply m = CELL__LOOK_REPLY__INIT;
+
+	endpoint_open(&before, "before");
+	endpoint_open(&after, "after");
+	endpoint_open(&node, "b");
+	endpoint_link(&before, &node, endpoint_listen(&before), 9);
+	relay_poll(before.relay, &first, 9, on_incarnation, got);
+	endpoint_run_until(&runner.n, 1);
+	m.call = node.last_call;
+	m.answered = true;
+	m.born_ms = 111;
+	e.body_case = KW__ENVELOPE__BODY_LOOK_REPLY;
+	e.look_reply = &m;
+	endpoint_link(&after, &node, endpoint_listen(&after), 10);
+	relay_poll(after.relay, &second, 10, on_incarnation, got);
+	endpoint_run_until(&runner.n, 2);
+	links_reply_order(node.links, node.last_link, &e);
+	run_loop();
+	cr_expect_eq(got->len, 0, "the list of r1 was delivered as that of r2");
+	answer_poll(&runner, 0, 111);
+	answer_poll(&runner, 1, 222);
+	run_loop();
+	cr_assert_eq(got->len, 1);
+	cr_expect_eq(g_array_index(got, int64_t, 0), 222);
+	endpoint_close(&node);
+	endpoint_close(&after);
+	endpoint_close(&before);
+}
