cell: expect the longest lease on a runner that restarted

What callers saw: a task was started again while its run went on, or after that run had ended as done (TWICE).

Cause: an order that was sent before a restart of the runner was noticed has a deadline by the clock of the earlier incarnation. The new clock starts anew, so that deadline is far in the future and the runner cuts it to its longest lease (lease_cap_ms). replace_incarnation() allowed for this, but the first answer of the new incarnation replaced the bound by lease_ms. If the runner fell silent after that answer, its runs were taken for lost about 4 s too early. A new scheduler has the same gap if the runner restarted shortly before.

Change: the bound at the first contact is lease_cap_ms if this scheduler saw the restart, or if the incarnation began less than 40 s ago. Else it stays lease_ms, so a takeover does not wait longer for runners that are sound.

Ruled out: a longer bound without a restart; an order that is carried out late in the same incarnation has a deadline that the bound includes.

Test: scheduler::a_restarted_runner_may_hold_the_longest_lease. Without the change: "restarted: lost after 6400 ms", "restarted before this scheduler began: lost after 6400 ms".

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -82,6 +82,7 @@
 	struct resources reserved; /* for steps of higher rank, in the current placement pass */
 	bool draining;
 	bool gone;		  /* no longer listed by the platform */
+	bool restarted;		  /* this scheduler knew an earlier incarnation */
 	bool contacted;		  /* has answered this scheduler */
 	int64_t first_contact_ms; /* its first answer to this scheduler */
 	bool polling;		  /* a poll is in flight */
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -11,6 +11,12 @@
 #define STOP_RETRY_MS	  700	/* between stop orders for one run */
 #define LATE_START_MS	  12000 /* the platform's runners may carry out an order this late */
 #define SILENT_POLLS	  3	/* polls in a row without a reply; single ones get lost */
+/*
+ * A runner that started longer ago has no lease from an order to an earlier incarnation. Such
+ * orders are sent until the restart is noticed (POLL_IDLE_MS, and polls without a reply), carried
+ * out up to LATE_START_MS later, and grant at most lease_cap_ms. 10 s allow for wall clocks.
+ */
+#define YOUNG_MS 40000
 
 /* Leases granted by earlier schedulers may still be valid on the runner. */
 static struct cell_runner *create_incarnation(struct scheduler *s, const struct runner_info *info)
@@ -83,6 +89,7 @@
 		else
 			move_run(s, r, fresh);
 	}
+	fresh->restarted = true;
 	fresh->granted_until_ms =
 		MAX(fresh->granted_until_ms, s->now_ms + restart_wait_ms(s, fresh));
 	g_hash_table_replace(s->runners, fresh->id, fresh);
@@ -112,6 +119,17 @@
 		rn->gone = true;
 }
 
+/*
+ * Longest lease at the first contact. An order that was meant for an earlier incarnation has a
+ * deadline by the earlier clock, which is far in the future by the new one's.
+ */
+static int64_t first_lease_ms(const struct scheduler *s, const struct cell_runner *rn)
+{
+	bool young = s->wall_ms - rn->incarnation_ms < YOUNG_MS || !rn->incarnation_ms;
+
+	return young || rn->restarted ? s->conf.lease_cap_ms : s->conf.lease_ms;
+}
+
 void scheduler_poll_answered(struct scheduler *s, const char *runner, uint64_t poll_id,
 			     const struct poll_reply *reply, int64_t now_ms)
 {
@@ -156,7 +174,7 @@
 	if (rn->misses >= SILENT_POLLS)
 		scheduler_report_runner(s, DECISION_RUNNER_RECOVERED, rn, now_ms - rn->answered_ms);
 	if (!rn->contacted)
-		cell_runner_first_contact(rn, s->conf.lease_ms, now_ms);
+		cell_runner_first_contact(rn, first_lease_ms(s, rn), now_ms);
 	cell_runner_answered(rn, reply->clock_ms, now_ms);
 	poll_read_reply(s, rn, reply, sent_ms);
 }
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -217,3 +217,69 @@
 	cr_assert_eq(f->stop->len, 1);
 	fixture_destroy(f);
 }
+
+struct lease_case {
+	const char *what;
+	bool restart;	/* while this scheduler watches */
+	int64_t age_ms; /* of the incarnation, by the wall clock */
+	int64_t wait_ms;
+};
+
+/*
+ * An order to an earlier incarnation has a deadline far in the future by the clock of the new one,
+ * which cuts it to the longest lease. A run was taken for lost after 6.2 s, and its task started
+ * again, while it ran on (simulation, "late orders reach quickly restarted runners", seed 1000).
+ */
+Test(scheduler, a_restarted_runner_may_hold_the_longest_lease)
+{
+	static const struct lease_case cases[] = {
+		{ "restarted", true, 100000, 10200 },
+		{ "restarted before this scheduler began", false, 5000, 10200 },
+		{ "started long ago", false, 100000, 6100 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct poll_running row = { .task = ID_A ".0.0.0",
+						  .run = 1,
+						  .checkpoint = "" };
+		struct fixture *f = fixture_create();
+		struct runner_info info = { .id = "r0",
+					    .address = "10.0.0.1:80",
+					    .service = "desk",
+					    .dc = "dc",
+					    .rack = "rack0",
+					    .incarnation_ms = f->wall_ms - cases[i].age_ms,
+					    .capacity = { 1000, 1 << 30, 0 } };
+
+		fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+		fixture_start_scheduler(f);
+		f->incarnation_ms = info.incarnation_ms;
+		scheduler_update_runner(f->sched, &info, f->now_ms);
+		fixture_poll_all(f);
+		fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 100));
+		fixture_advance(f, 1);
+		if (cases[i].restart) {
+			fixture_ack_batch(f);
+			fixture_accept_starts(f);
+			info.incarnation_ms++;
+		} else {
+			restart_scheduler(f);
+		}
+		scheduler_update_runner(f->sched, &info, f->now_ms);
+		f->incarnation_ms = info.incarnation_ms;
+		fixture_advance(f, 1);
+		while (f->poll->len > 1)
+			g_array_remove_index(f->poll, 0);
+		fixture_poll_answer(f, "r0", &row, 1, NULL, 0);
+		for (int64_t silent_ms = 0; silent_ms < cases[i].wait_ms; silent_ms += 100) {
+			cr_expect_not_null(fixture_find_job(f, ID_A)->task[0].live_run,
+					   "%s: lost after %ld ms", cases[i].what, (long)silent_ms);
+			fixture_advance(f, 100);
+			fixture_poll_lost(f, "r0");
+		}
+		fixture_advance(f, 300);
+		cr_expect_null(fixture_find_job(f, ID_A)->task[0].live_run, "%s: still waits",
+			       cases[i].what);
+		fixture_destroy(f);
+	}
+}
