cell: count runs that the scheduler did not expect

What callers saw: a runner was given more than it holds, and a task was started again while an earlier run of it was being stopped (TWICE).

Cause: a start order that is carried out late, on a runner that has restarted, can start a run that the scheduler gave up or that had ended. Its next poll lists that run, and it was only sent a stop. A stop takes up to stop_ms; until then the run used capacity that nobody counted, and its task could be placed elsewhere.

Change: such a run becomes the live run of its task and is stopped like any other, so it counts until its end is known. If the task has another live run, or is not known, the runner gets no starts and the task no further one until the stop must have taken effect; a start of the task without an answer is not repeated. Missing runs are dropped before the others are looked at, as one reply may show both. The end of such a run does not change a task that is done.

Ruled out: letting the run go on; its number may be lower than that of a later run, so the next scheduler could not find it by the job log.

Not covered: what such a run does before a poll lists it. No order can prevent that.

Test: scheduler::an_unexpected_run_uses_capacity_until_it_has_ended. Without the change all five cases fail with "a start while it is stopped".

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -100,6 +100,7 @@
 	uint64_t last_end;	       /* last seq processed */
 	uint32_t consecutive_failures; /* of runs, across jobs */
 	int64_t quarantined_until_ms;  /* no starts before that */
+	int64_t unexpected_until_ms;   /* runs that the scheduler doesn't track may exist */
 	GPtrArray *runs;	       /* of struct run */
 };
 
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -99,6 +99,10 @@
 		if (end->end == END_FAILED)
 			scheduler_report_run(s, DECISION_FAILED, r);
 		scheduler_drop_run(s, r);
+		if (j->task[task].done) {
+			ignore_end(s, rn, j, task, end);
+			return;
+		}
 	} else if (end->end != END_DONE || j->task[task].done) {
 		/* This end of an older run changes nothing. */
 		ignore_end(s, rn, j, task, end);
@@ -144,17 +148,59 @@
 	scheduler_stop_run(s, r);
 }
 
+/*
+ * A late order started the run in this incarnation. It uses capacity and keeps its task from being
+ * placed until it has ended, like any other run.
+ */
+static void adopt_run(struct scheduler *s, struct cell_runner *rn, struct cell_job *j,
+		      uint32_t task, uint32_t run_number)
+{
+	struct run *r = runs_create(s, j, task, run_number);
+
+	r->state = RUN_CONFIRMED;
+	r->confirmed_ms = s->now_ms;
+	r->listed = true;
+	cell_runner_add_run(rn, r);
+	runs_attach(j, r);
+	j->task[task].last_run = MAX(j->task[task].last_run, run_number);
+	scheduler_mark_dirty(s, j);
+	scheduler_job_changed(s, j, s->now_ms);
+	scheduler_stop_run(s, r);
+}
+
+/*
+ * A run of an unknown task, or a second run of one, is not tracked. Until it has been stopped, the
+ * runner gets no starts, and the task has no further one.
+ */
+static void stop_unexpected(struct scheduler *s, struct cell_runner *rn,
+			    const struct poll_running *row)
+{
+	struct cell_job *j;
+	uint32_t task = job_table_find_task(s->jobs, row->task, &j);
+
+	g_info("stopping an unexpected run on runner %s: %s (run %u)", rn->id, row->task, row->run);
+	if (task != UINT32_MAX && !j->task[task].live_run) {
+		adopt_run(s, rn, j, task, row->run);
+		return;
+	}
+	rn->unexpected_until_ms = s->now_ms + s->conf.stop_ms + RUNNER_LEASE_SLACK_MS;
+	if (task != UINT32_MAX) {
+		j->task[task].not_before_ms =
+			MAX(j->task[task].not_before_ms, rn->unexpected_until_ms);
+		/* A start without an answer must not be repeated. */
+		if (j->task[task].live_run->state != RUN_CONFIRMED)
+			scheduler_stop_run(s, j->task[task].live_run);
+	}
+	scheduler_send_stop(s, rn, row->task, row->run);
+}
+
 static void process_running(struct scheduler *s, struct cell_runner *rn,
 			    const struct poll_running *row)
 {
 	struct run *r = scheduler_find_run(s, rn->id, row->task, row->run);
 
-	if (!r) {
-		g_info("stopping an unexpected run on runner %s: %s (run %u)", rn->id, row->task,
-		       row->run);
-		scheduler_send_stop(s, rn, row->task, row->run);
+	if (!r)
 		return;
-	}
 	r->listed = true;
 	if (r->state != RUN_CONFIRMED) {
 		r->state = RUN_CONFIRMED;
@@ -216,4 +262,8 @@
 	/* A full list may omit ends. */
 	if (reply->n_ended < POLL_ENDS_MAX)
 		lose_missing(s, rn, sent_ms);
+	/* Last, since a task whose run is gone may have an earlier run here. */
+	for (size_t i = 0; i < reply->n_running; i++)
+		if (!scheduler_find_run(s, rn->id, reply->running[i].task, reply->running[i].run))
+			stop_unexpected(s, rn, &reply->running[i]);
 }
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -208,6 +208,11 @@
 	return (uint32_t)MAX(until_ms - s->now_ms, 0);
 }
 
+static bool is_idle(const struct scheduler *s, const struct cell_runner *rn)
+{
+	return rn->runs->len == 0 && rn->unexpected_until_ms <= s->now_ms;
+}
+
 static void send_poll(struct scheduler *s, struct cell_runner *rn)
 {
 	struct poll_order order = { .poll_id = ++s->last_poll_id,
@@ -220,7 +225,7 @@
 		rn->acked_end = rn->unacked_end;
 	order.acked_end = rn->acked_end;
 	if (rn->contacted && rn->misses == 0 && !unwritten)
-		order.wait_ms = rn->runs->len ? poll_wait(s, rn) : 0;
+		order.wait_ms = is_idle(s, rn) ? 0 : poll_wait(s, rn);
 	/* A silent runner may still receive polls: don't renew its lease, so that it runs out. */
 	if (rn->runs->len && rn->misses == 0 && s->now_ms <= s->grant_until_ms)
 		order.deadline_ms = cell_runner_grant_lease(rn, s->conf.lease_ms, s->now_ms);
@@ -241,7 +246,7 @@
 		return rn->next_poll_ms;
 	if (rn->unacked_end_batch > s->batch_acked)
 		return MAX(rn->next_poll_ms, rn->granted_until_ms - s->conf.lease_ms / 2);
-	if (rn->runs->len == 0 && rn->acked_end == rn->unacked_end)
+	if (is_idle(s, rn) && rn->acked_end == rn->unacked_end)
 		return rn->next_poll_ms + POLL_IDLE_MS;
 	return rn->next_poll_ms;
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -53,7 +53,7 @@
 bool scheduler_can_use_runner(const struct scheduler *s, const struct cell_runner *rn)
 {
 	return rn->contacted && !rn->gone && !rn->draining && rn->misses == 0 &&
-	       rn->quarantined_until_ms <= s->now_ms;
+	       rn->quarantined_until_ms <= s->now_ms && rn->unexpected_until_ms <= s->now_ms;
 }
 
 static void stop_all(struct scheduler *s, struct cell_job *j)
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -438,6 +438,105 @@
 	fixture_destroy(f);
 }
 
+#define GHOST_LATE 1 /* run number of the run that a late order started */
+
+enum ghost_task {
+	GHOST_WAITS = 0, /* its task has no other run */
+	GHOST_DONE,	 /* its task has ended */
+	GHOST_PLANNED,	 /* its task has another start in flight */
+	GHOST_MOVED,	 /* its task has another run, which is gone */
+	GHOST_UNKNOWN,	 /* of no known task */
+};
+
+struct ghost_case {
+	const char *what;
+	enum ghost_task task;
+};
+
+/* A task with a first run that ended on r0, and r0 restarted. */
+static struct fixture *ghost_fixture(const struct ghost_case *c)
+{
+	struct fixture *f = fixture_default(1, 1000);
+
+	fixture_submit_and_start(f, fixture_new_job(ID_A, "urgent", 1, 600));
+	fixture_end_run(f, "r0", 1, ID_A ".0.0.0", 1,
+			c->task == GHOST_DONE ? END_DONE : END_FAILED);
+	if (c->task == GHOST_PLANNED || c->task == GHOST_MOVED) {
+		fixture_advance(f, 4100);
+		fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+		fixture_advance(f, 1);
+		while (fixture_ack_batch(f))
+			;
+		cr_assert_eq(f->starts, 2);
+	}
+	if (c->task == GHOST_MOVED)
+		fixture_accept_starts(f);
+	while (fixture_ack_batch(f))
+		;
+	if (c->task != GHOST_PLANNED)
+		fixture_restart_r0(f);
+	fixture_advance(f, 1);
+	while (f->poll->len > 1)
+		g_array_remove_index(f->poll, 0);
+	return f;
+}
+
+/*
+ * A late order starts a run on a restarted runner, before the scheduler can fence it. The runner
+ * was given more than it holds, and the task was started again while that run was being stopped
+ * (simulation, "late orders reach restarted runners", seeds 1004, 1005, 1023).
+ */
+Test(scheduler, an_unexpected_run_uses_capacity_until_it_has_ended)
+{
+	static const struct ghost_case cases[] = {
+		{ "task waits", GHOST_WAITS },	      { "task done", GHOST_DONE },
+		{ "start in flight", GHOST_PLANNED }, { "other run gone", GHOST_MOVED },
+		{ "unknown task", GHOST_UNKNOWN },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = ghost_fixture(&cases[i]);
+		const struct poll_running row = { .task = cases[i].task == GHOST_UNKNOWN
+								  ? ID_C ".0.0.0"
+								  : ID_A ".0.0.0",
+						  .run = GHOST_LATE,
+						  .checkpoint = "" };
+		const struct poll_ended end = { .seq = 2,
+						.task = row.task,
+						.run = row.run,
+						.end = END_FAILED,
+						.checkpoint = "" };
+		uint32_t starts = f->starts;
+
+		fixture_poll_answer(f, "r0", &row, 1, NULL, 0);
+		fixture_submit(f, fixture_new_job(ID_B, "urgent", 1, 600));
+		if (cases[i].task == GHOST_PLANNED)
+			fixture_start_answer(f, ID_A ".0.0.0", START_UNKNOWN);
+		for (int k = 0; k < 5; k++) {
+			fixture_advance(f, 100);
+			while (fixture_ack_batch(f))
+				;
+		}
+		cr_expect_gt(f->stop->len, 0, "%s: not stopped", cases[i].what);
+		cr_expect_eq(f->starts, starts, "%s: a start while it is stopped", cases[i].what);
+		fixture_advance(f, 1);
+		fixture_poll_answer(f, "r0", NULL, 0, &end, 1);
+		if (cases[i].task == GHOST_PLANNED)
+			scheduler_stop_answered(f->sched, "r0", ID_A ".0.0.0", 2, true, f->now_ms);
+		if (cases[i].task == GHOST_DONE)
+			cr_expect_eq(fixture_find_job(f, ID_A)->state, JOB_DONE, "%s",
+				     cases[i].what);
+		for (int k = 0; k < 60; k++) {
+			fixture_advance(f, 100);
+			while (fixture_ack_batch(f))
+				;
+			fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+		}
+		cr_expect_gt(f->starts, starts, "%s: no start after its end", cases[i].what);
+		fixture_destroy(f);
+	}
+}
+
 struct hang_case {
 	const char *what;
 	uint32_t usage;
