tests: entries of silent runners are removed and return

Three cases of the simulation: the platform removes the entry of a silent runner and lists it again, alone, with restarts, and with schedulers that are replaced.

--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -10,6 +10,7 @@
 /* A 6 s lease on a clock 2% slow, 100 ms of slack, and 3 s in which old schedulers grant leases. */
 #define INHERITED_MS	     9220
 #define OLD_SCHEDULER_MAX_MS 7000 /* longest time that a replaced scheduler goes on */
+#define ENTRY_SILENCE_MS     3000 /* until the entry of a silent runner is removed */
 #define APPEND_MS	     12
 #define FAULT_FREE_MS	     60000 /* phase without faults at the end, so that all jobs can end */
 
@@ -262,6 +263,13 @@
 		list_runner(s, s->current, data);
 }
 
+static void remove_entry(struct sim *s, void *data)
+{
+	if (!s->current->dead)
+		scheduler_runner_gone(s->current->sched, ((struct sim_runner *)data)->id,
+				      s->now_ms);
+}
+
 static void silence(struct sim *s, void *data)
 {
 	struct sim_runner *r = s->runner->pdata[sim_pick(s, s->runner->len)];
@@ -285,6 +293,11 @@
 		g_hash_table_remove_all(r->stopped);
 		sim_at(s, s->now_ms + sim_around(s, s->conf->list_delay_ms), list_restart, r);
 	}
+	if (sim_chance(s, s->conf->removed_milli)) {
+		sim_at(s, s->now_ms + ENTRY_SILENCE_MS, remove_entry, r);
+		sim_at(s, MAX(r->silent_until_ms, s->now_ms + ENTRY_SILENCE_MS) + sim_pick(s, 4000),
+		       list_restart, r);
+	}
 	sim_at(s, s->now_ms + sim_around(s, s->conf->silent_every_ms), silence, NULL);
 }
 
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -28,11 +28,12 @@
 	uint32_t replace_every_ms; /* replacement of the scheduler; 0 for never */
 	uint32_t silent_every_ms;  /* a runner stops answering for seconds; 0 for never */
 	uint32_t restart_milli;	   /* share of silent runners that restart */
-	uint32_t quick_milli;	   /* share of restarts that take less than 0.5 s */
-	uint32_t list_delay_ms;	   /* time until the platform lists a restart, mean */
-	uint32_t attempts;	   /* of a task; 0 for 8 */
-	uint32_t advise_ms;	   /* time of a request to the advisor; 0 for no advisor */
-	uint32_t approved_milli;   /* share of runners that a step is approved for */
+	uint32_t removed_milli;	 /* share of silent runners whose entries are removed for a while */
+	uint32_t quick_milli;	 /* share of restarts that take less than 0.5 s */
+	uint32_t list_delay_ms;	 /* time until the platform lists a restart, mean */
+	uint32_t attempts;	 /* of a task; 0 for 8 */
+	uint32_t advise_ms;	 /* time of a request to the advisor; 0 for no advisor */
+	uint32_t approved_milli; /* share of runners that a step is approved for */
 };
 
 struct sim_result {
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -52,6 +52,16 @@
 	return c;
 }
 
+/* Entries of runners that are removed and return. */
+static struct sim_conf removals(uint32_t late, uint32_t replace, uint32_t restart)
+{
+	struct sim_conf c = restarts(late, replace, 300, 1500);
+
+	c.restart_milli = restart;
+	c.removed_milli = 700;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -94,6 +104,10 @@
 		{ "late orders reach restarted runners", restarts(100, 0, 300, 1500), 12 },
 		{ "late orders reach quickly restarted runners", restarts(100, 0, 1000, 3000), 12 },
 		{ "late orders, restarts, replaced schedulers", restarts(60, 3000, 500, 1500), 12 },
+		{ "entries are removed and return", removals(60, 0, 0), 8 },
+		{ "entries are removed, restarts", removals(60, 0, 500), 8 },
+		{ "entries are removed, restarts, replaced schedulers", removals(60, 3000, 500),
+		  8 },
 	};
 	uint32_t first = env_number("KW_SIM_FIRST", 1);
 	uint32_t more = env_number("KW_SIM_SEEDS", 0);
