--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -11,6 +11,12 @@
 #define STOP_RETRY_MS	  700	/* between stop orders for one run */
 #define LATE_START_MS	  12000 /* the platform's runners may carry out an order this late */
 #define SILENT_POLLS	  3	/* polls in a row without a reply; single ones get lost */
+/*
+ * A runner that started longer ago has no lease from an order to an earlier incarnation. Such
+ * orders are sent until the restart is noticed (POLL_IDLE_MS, and polls without a reply), carried
+ * out up to LATE_START_MS later, and grant at most lease_cap_ms. 10 s allow for wall clocks.
+ */
+#define YOUNG_MS 40000
 
 /* Leases granted by earlier schedulers may still be valid on the runner. */
 static struct cell_runner *create_incarnation(struct scheduler *s, const struct runner_info *info)
@@ -83,6 +89,7 @@
 		else
 			move_run(s, r, fresh);
 	}
+	fresh->restarted = true;
 	fresh->granted_until_ms =
 		MAX(fresh->granted_until_ms, s->now_ms + restart_wait_ms(s, fresh));
 	g_hash_table_replace(s->runners, fresh->id, fresh);
@@ -112,6 +119,17 @@
 		rn->gone = true;
 }
 
+/*
+ * Longest lease at the first contact. An order that was meant for an earlier incarnation has a
+ * deadline by the earlier clock, which is far in the future by the new one's.
+ */
+static int64_t first_lease_ms(const struct scheduler *s, const struct cell_runner *rn)
+{
+	bool young = s->wall_ms - rn->incarnation_ms < YOUNG_MS || !rn->incarnation_ms;
+
+	return young || rn->restarted ? s->conf.lease_cap_ms : s->conf.lease_ms;
+}
+
 void scheduler_poll_answered(struct scheduler *s, const char *runner, uint64_t poll_id,
 			     const struct poll_reply *reply, int64_t now_ms)
 {
@@ -121,13 +139,13 @@
 	s->now_ms = now_ms;
 	if (!rn)
 		return;
+	/* This poll was sent to an older incarnation; the current one has its own in flight. */
+	if (poll_id != rn->poll_id)
+		return;
 	if (reply && reply->fenced) {
 		scheduler_fenced(s, runner);
 		return;
 	}
-	/* This poll was sent to an older incarnation; the current one has its own in flight. */
-	if (poll_id != rn->poll_id)
-		return;
 	sent_ms = rn->poll_sent_ms;
 	rn->polling = false;
 	rn->next_poll_ms = now_ms;
@@ -156,7 +174,7 @@
 	if (rn->misses >= SILENT_POLLS)
 		scheduler_report_runner(s, DECISION_RUNNER_RECOVERED, rn, now_ms - rn->answered_ms);
 	if (!rn->contacted)
-		cell_runner_first_contact(rn, s->conf.lease_ms, now_ms);
+		cell_runner_first_contact(rn, first_lease_ms(s, rn), now_ms);
 	cell_runner_answered(rn, reply->clock_ms, now_ms);
 	poll_read_reply(s, rn, reply, sent_ms);
 }
@@ -190,10 +208,16 @@
 	return (uint32_t)MAX(until_ms - s->now_ms, 0);
 }
 
+static bool is_idle(const struct scheduler *s, const struct cell_runner *rn)
+{
+	return rn->runs->len == 0 && !rn->has_unread_runs && rn->unexpected_until_ms <= s->now_ms;
+}
+
 static void send_poll(struct scheduler *s, struct cell_runner *rn)
 {
 	struct poll_order order = { .poll_id = ++s->last_poll_id,
 				    .route = runs_route(rn, 0),
+				    .fence_seq = rn->handle,
 				    .runner = rn->id,
 				    .address = rn->address };
 	bool unwritten = rn->unacked_end_batch > s->batch_acked;
@@ -202,7 +226,7 @@
 		rn->acked_end = rn->unacked_end;
 	order.acked_end = rn->acked_end;
 	if (rn->contacted && rn->misses == 0 && !unwritten && !rn->has_unread_runs)
-		order.wait_ms = rn->runs->len ? poll_wait(s, rn) : 0;
+		order.wait_ms = is_idle(s, rn) ? 0 : poll_wait(s, rn);
 	/* A silent runner may still receive polls: don't renew its lease, so that it runs out. */
 	if ((rn->runs->len || rn->has_unread_runs) && rn->misses == 0 &&
 	    s->now_ms <= s->grant_until_ms)
@@ -224,7 +248,7 @@
 		return rn->next_poll_ms;
 	if (rn->unacked_end_batch > s->batch_acked)
 		return MAX(rn->next_poll_ms, rn->granted_until_ms - s->conf.lease_ms / 2);
-	if (rn->runs->len == 0 && !rn->has_unread_runs && rn->acked_end == rn->unacked_end)
+	if (is_idle(s, rn) && rn->acked_end == rn->unacked_end)
 		return rn->next_poll_ms + POLL_IDLE_MS;
 	return rn->next_poll_ms;
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -54,7 +54,8 @@
 {
 	/* How much room runs of unread jobs take is not known yet. */
 	return rn->contacted && !rn->gone && !rn->draining && rn->misses == 0 &&
-	       !rn->has_unread_runs && rn->quarantined_until_ms <= s->now_ms;
+	       !rn->has_unread_runs && rn->quarantined_until_ms <= s->now_ms &&
+	       rn->unexpected_until_ms <= s->now_ms;
 }
 
 static void stop_all(struct scheduler *s, struct cell_job *j)
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -5,12 +5,12 @@
 #include "sim_priv.h"
 
 #define START_MS 1000000
-#define WALL_MS	 1760000000000
+#define WALL_MS	 0 /* so that incarnations are times of the wall clock */
 #define MIB	 1048576
 /* A 6 s lease on a clock 2% slow, 100 ms of slack, and 3 s in which old schedulers grant leases. */
 #define INHERITED_MS	     9220
-#define LEASE_CAP_MS	     10000
 #define OLD_SCHEDULER_MAX_MS 7000 /* longest time that a replaced scheduler goes on */
+#define ENTRY_SILENCE_MS     3000 /* until the entry of a silent runner is removed */
 #define APPEND_MS	     12
 #define OBJECTIVE_MS	     30000 /* of jobs with checkpoints, so that they may be preempted */
 #define JOB_READ_MS	     300   /* between reads of the jobs */
@@ -193,7 +193,7 @@
 
 static const struct job_table_ops job_table_ops = { .changed = on_changed };
 
-static void list_runner(struct sim *s, struct sim_sched *to, const struct sim_runner *r)
+static void list_runner(struct sim *s, struct sim_sched *to, struct sim_runner *r)
 {
 	struct runner_info info = { .id = r->id,
 				    .address = "10.0.0.1:80",
@@ -204,6 +204,7 @@
 				    .incarnation_ms = r->incarnation_ms };
 
 	scheduler_update_runner(to->sched, &info, s->now_ms);
+	r->known_ms = r->known_ms ? r->known_ms : s->now_ms;
 }
 
 static void tick(struct sim *s, void *data)
@@ -261,6 +262,19 @@
 	sim_at(s, s->now_ms + sim_around(s, s->conf->replace_every_ms), replace, NULL);
 }
 
+static void list_restart(struct sim *s, void *data)
+{
+	if (!s->current->dead)
+		list_runner(s, s->current, data);
+}
+
+static void remove_entry(struct sim *s, void *data)
+{
+	if (!s->current->dead)
+		scheduler_runner_gone(s->current->sched, ((struct sim_runner *)data)->id,
+				      s->now_ms);
+}
+
 static void silence(struct sim *s, void *data)
 {
 	struct sim_runner *r = s->runner->pdata[sim_pick(s, s->runner->len)];
@@ -270,15 +284,24 @@
 	sim_advance(s);
 	r->silent_until_ms = s->now_ms + 500 + sim_pick(s, 9000);
 	if (sim_chance(s, s->conf->restart_milli)) {
+		if (sim_chance(s, s->conf->quick_milli))
+			r->silent_until_ms = s->now_ms + 50 + sim_pick(s, 450);
 		r->incarnation_ms = s->now_ms;
 		r->fence = 0;
 		r->next_end_seq = 1;
 		r->lease_ms = 0;
+		r->lapsed_ms = 0;
+		r->known_ms = 0;
+		r->replies = 0;
 		g_ptr_array_set_size(r->task, 0);
 		g_ptr_array_set_size(r->end, 0);
 		g_hash_table_remove_all(r->stopped);
-		if (!s->current->dead)
-			list_runner(s, s->current, r);
+		sim_at(s, s->now_ms + sim_around(s, s->conf->list_delay_ms), list_restart, r);
+	}
+	if (sim_chance(s, s->conf->removed_milli)) {
+		sim_at(s, s->now_ms + ENTRY_SILENCE_MS, remove_entry, r);
+		sim_at(s, MAX(r->silent_until_ms, s->now_ms + ENTRY_SILENCE_MS) + sim_pick(s, 4000),
+		       list_restart, r);
 	}
 	sim_at(s, s->now_ms + sim_around(s, s->conf->silent_every_ms), silence, NULL);
 }
@@ -509,7 +532,7 @@
 	}
 	g_ptr_array_unref(s->log);
 	g_hash_table_unref(s->done);
-	g_hash_table_unref(s->acked_failures);
+	g_hash_table_unref(s->history);
 	g_hash_table_unref(s->listed_failures);
 	g_hash_table_unref(s->job);
 	queues_destroy(s->queues);
@@ -528,7 +551,7 @@
 	s.sched = g_ptr_array_new();
 	s.log = g_ptr_array_new();
 	s.done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s.acked_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.history = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, sim_history_free);
 	s.listed_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s.job = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s.faults_until_ms = START_MS + (int64_t)conf->jobs * conf->job_every_ms + 5000;
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -89,6 +89,28 @@
 	return c;
 }
 
+/* Restarts that the platform lists late, and few attempts. */
+static struct sim_conf restarts(uint32_t late, uint32_t replace, uint32_t quick,
+				uint32_t list_delay)
+{
+	struct sim_conf c = faults(150, 30, late, replace, 1500, 700, 200, 50, 0);
+
+	c.attempts = 3;
+	c.quick_milli = quick;
+	c.list_delay_ms = list_delay;
+	return c;
+}
+
+/* Entries of runners that are removed and return. */
+static struct sim_conf removals(uint32_t late, uint32_t replace, uint32_t restart)
+{
+	struct sim_conf c = restarts(late, replace, 300, 1500);
+
+	c.restart_milli = restart;
+	c.removed_milli = 700;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -100,9 +122,9 @@
 		     r.first_violation);
 	cr_expect_eq(r.reruns, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
-	cr_expect_eq(r.starts_after_cancel, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
+	cr_expect_eq(r.starts_over_attempts, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
-	cr_expect_eq(r.over_budget, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
+	cr_expect_eq(r.starts_after_cancel, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
 	cr_expect_eq(r.failed_early, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
@@ -151,6 +173,13 @@
 		  with_small_tasks(faults(50, 50, 0, 3000, 0, 0, 0, 0, 0)), 2 },
 		{ "poison, late polls",
 		  with_poison(faults(50, 50, 0, 3000, 1500, 0, 300, 50, 0), 30), 6 },
+		{ "late orders reach restarted runners", restarts(100, 0, 300, 1500), 12 },
+		{ "late orders reach quickly restarted runners", restarts(100, 0, 1000, 3000), 12 },
+		{ "late orders, restarts, replaced schedulers", restarts(60, 3000, 500, 1500), 12 },
+		{ "entries are removed and return", removals(60, 0, 0), 8 },
+		{ "entries are removed, restarts", removals(60, 0, 500), 8 },
+		{ "entries are removed, restarts, replaced schedulers", removals(60, 3000, 500),
+		  8 },
 	};
 	uint32_t first = env_number("KW_SIM_FIRST", 1);
 	uint32_t more = env_number("KW_SIM_SEEDS", 0);
