fleet: drop answers from before a worker left the list of VMs

What callers would see: tasks that ran on the worker before it left the list are taken for tasks that run now, and ends that came meanwhile are missed.

Cause: the answer to an open or a renewal is matched by the worker's name and a count of its changes of ownership. The count is part of the worker's record, which is freed when the VM is no longer listed. If the VM is listed again before the answer comes, the new record counts from 0 too, so the answer to the old session is taken for that of the new one. The epoch doesn't tell them apart, since a new session starts with the same one.

Change: the counter belongs to the fleet, and each record and each change of ownership gets a new number.

--- a/packages/daemon/process/fleet.c
+++ b/packages/daemon/process/fleet.c
@@ -21,6 +21,7 @@
 	void *ctx;
 	GHashTable *by_name;
 	uint64_t seed; /* shared by all sessions: the low bits mark this daemon's epochs */
+	uint32_t last_generation; /* of all workers, also those that are not listed any more */
 	bool releasing;
 };
 
@@ -270,7 +271,7 @@
 {
 	w->is_owned = false;
 	w->in_flight = false;
-	w->generation++;
+	w->generation = ++w->fleet->last_generation;
 	session_set_wanted(w->session, false, now_ms());
 	w->fleet->ops->removed(w->fleet->ctx, w);
 	/* Replies to the old session must not be taken for replies to a new one. */
@@ -321,6 +322,7 @@
 	}
 	w = g_new0(struct worker, 1);
 	w->fleet = f;
+	w->generation = ++f->last_generation;
 	w->name = g_strdup(vm->name);
 	w->rack = g_strdup(vm->rack);
 	w->url = g_steal_pointer(&url);
--- a/packages/daemon/process/fleet.h
+++ b/packages/daemon/process/fleet.h
@@ -34,7 +34,7 @@
 	bool in_flight;	       /* an open or renewal awaits its reply */
 	uint32_t tasks; /* tasks on the worker, counted by taskserve.c; ends are polled unless 0 */
 	uint32_t foreign_requests; /* running requests of an earlier owner, counted by reqserve.c */
-	uint32_t generation;	   /* counts changes of ownership, to drop late replies */
+	uint32_t generation;	   /* changes with each ownership, to drop late replies */
 	enum worker_state state;
 };
 
