--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -173,7 +173,7 @@
 		  with_small_tasks(faults(50, 50, 0, 3000, 0, 0, 0, 0, 0)), 2 },
 		{ "poison, late polls",
 		  with_poison(faults(50, 50, 0, 3000, 1500, 0, 300, 50, 0), 30), 6 },
-		/* Rare: without fences for each incarnation, 6 of 150 seeds. */
+		/* Few seeds show a fault of this kind, so there are many. */
 		{ "poison, late polls of restarted runners",
 		  with_poison(faults(50, 50, 0, 0, 1500, 600, 300, 50, 0), 30), 60 },
 		{ "late orders reach restarted runners", restarts(100, 0, 300, 1500), 12 },
