tests: guard the link and the peer of a reply again

A new test sends a reply with that number on the other link, and from a node that was not asked. With the check of the link taken out it fails with "a reply on the link to the scheduler before was delivered", with that of the peer with "a reply of a node that was not asked was delivered"; with numbers from 0 the test of the older release fails as before. The two tests there were share the setup now and keep their assertions.

--- a/tests/node/test_relay.c
+++ b/tests/node/test_relay.c
@@ -139,44 +139,98 @@
 	}
 }
 
-/*
- * Guards against a reply being taken for that of another order: a node finishes a poll of one
- * scheduler after it has linked to the next one, whose polls have the same call numbers. The next
- * one then took the list of one runner for that of another, and lost runs that had ended.
- */
-Test(relay, reply_to_an_order_of_another_scheduler_is_not_delivered)
+/* A node that has a poll of one scheduler in hand, and one of the next, to which it is linked. */
+struct two_schedulers {
+	struct slow_runner runner;
+	struct runner_client client;
+	struct endpoint before;
+	struct endpoint after;
+	struct endpoint node;
+	uint64_t first_link; /* link and number of the poll of r1 by the scheduler before */
+	uint64_t first_call;
+	GArray *got; /* incarnations in the replies that were delivered */
+};
+
+static void two_schedulers_open(struct two_schedulers *t)
 {
 	static const struct runner_ops slow_ops = { .poll = hold_poll };
-	struct slow_runner runner = { 0 };
-	const struct runner_client slow = { .ops = &slow_ops, .impl = &runner };
 	const struct poll_order first = { .route = { .dc = "dc" }, .runner = "r1" };
 	const struct poll_order second = { .route = { .dc = "dc" },
 					   .runner = "r2",
 					   .timeout_ms = 5000 };
-	struct endpoint before = { 0 };
-	struct endpoint after = { 0 };
-	struct endpoint node = { .runners = &slow };
-	g_autoptr(GArray) got = g_array_new(FALSE, FALSE, sizeof(int64_t));
-
-	endpoint_open(&before, "before");
-	endpoint_open(&after, "after");
-	endpoint_open(&node, "b");
-	endpoint_link(&before, &node, endpoint_listen(&before), 9);
-	relay_poll(before.relay, &first, 9, on_incarnation, got);
-	endpoint_run_until(&runner.n, 1);
-	endpoint_link(&after, &node, endpoint_listen(&after), 10);
-	relay_poll(after.relay, &second, 10, on_incarnation, got);
-	endpoint_run_until(&runner.n, 2);
-	answer_poll(&runner, 0, 111);
+
+	*t = (struct two_schedulers){ .client = { .ops = &slow_ops, .impl = &t->runner } };
+	t->got = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	t->node.runners = &t->client;
+	endpoint_open(&t->before, "before");
+	endpoint_open(&t->after, "after");
+	endpoint_open(&t->node, "b");
+	endpoint_link(&t->before, &t->node, endpoint_listen(&t->before), 9);
+	relay_poll(t->before.relay, &first, 9, on_incarnation, t->got);
+	endpoint_run_until(&t->runner.n, 1);
+	t->first_link = t->node.last_link;
+	t->first_call = t->node.last_call;
+	endpoint_link(&t->after, &t->node, endpoint_listen(&t->after), 10);
+	relay_poll(t->after.relay, &second, 10, on_incarnation, t->got);
+	endpoint_run_until(&t->runner.n, 2);
+}
+
+/* Answers both polls; only that of r2 may be delivered. */
+static void two_schedulers_close(struct two_schedulers *t)
+{
+	answer_poll(&t->runner, 0, 111);
 	run_loop();
-	cr_expect_eq(got->len, 0, "the list of r1 was delivered as that of r2");
-	answer_poll(&runner, 1, 222);
+	cr_expect_eq(t->got->len, 0, "the list of r1 was delivered as that of r2");
+	answer_poll(&t->runner, 1, 222);
 	run_loop();
-	cr_assert_eq(got->len, 1);
-	cr_expect_eq(g_array_index(got, int64_t, 0), 222);
-	endpoint_close(&node);
-	endpoint_close(&after);
-	endpoint_close(&before);
+	cr_assert_eq(t->got->len, 1);
+	cr_expect_eq(g_array_index(t->got, int64_t, 0), 222);
+	g_array_unref(t->got);
+	endpoint_close(&t->node);
+	endpoint_close(&t->after);
+	endpoint_close(&t->before);
+}
+
+/* A reply to the poll of this number, as if r1 had answered. */
+static void fill_reply(Kw__Envelope *e, Cell__LookReply *m, uint64_t call)
+{
+	kw__envelope__init(e);
+	cell__look_reply__init(m);
+	m->call = call;
+	m->answered = true;
+	m->born_ms = 111;
+	e->body_case = KW__ENVELOPE__BODY_LOOK_REPLY;
+	e->look_reply = m;
+}
+
+/*
+ * Guards against a reply being taken for that of another order: a node finishes a poll of one
+ * scheduler after it has linked to the next one. The next one took the list of one runner for that
+ * of another, and lost runs that had ended.
+ */
+Test(relay, reply_to_an_order_of_another_scheduler_is_not_delivered)
+{
+	struct two_schedulers t;
+
+	two_schedulers_open(&t);
+	two_schedulers_close(&t);
+}
+
+/* The same if both schedulers gave their polls the same number: the link and the peer tell. */
+Test(relay, reply_on_another_link_or_of_another_peer_is_not_delivered)
+{
+	struct two_schedulers t;
+	Kw__Envelope e;
+	Cell__LookReply m;
+
+	two_schedulers_open(&t);
+	fill_reply(&e, &m, t.node.last_call);
+	links_reply_order(t.node.links, t.first_link, &e);
+	run_loop();
+	cr_expect_eq(t.got->len, 0, "a reply on the link to the scheduler before was delivered");
+	relay_handle_reply(t.after.relay, NULL, &e);
+	cr_expect_eq(t.got->len, 0, "a reply of a node that was not asked was delivered");
+	two_schedulers_close(&t);
 }
 
 /*
@@ -186,43 +240,14 @@
  */
 Test(relay, reply_of_an_older_release_to_an_earlier_scheduler_is_not_delivered)
 {
-	static const struct runner_ops slow_ops = { .poll = hold_poll };
-	struct slow_runner runner = { 0 };
-	const struct runner_client slow = { .ops = &slow_ops, .impl = &runner };
-	const struct poll_order first = { .route = { .dc = "dc" }, .runner = "r1" };
-	const struct poll_order second = { .route = { .dc = "dc" },
-					   .runner = "r2",
-					   .timeout_ms = 5000 };
-	struct endpoint before = { 0 };
-	struct endpoint after = { 0 };
-	struct endpoint node = { .runners = &slow };
-	g_autoptr(GArray) got = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	Kw__Envelope e = KW__ENVELOPE__INIT;
-	Cell__LookReply m = CELL__LOOK_REPLY__INIT;
-
-	endpoint_open(&before, "before");
-	endpoint_open(&after, "after");
-	endpoint_open(&node, "b");
-	endpoint_link(&before, &node, endpoint_listen(&before), 9);
-	relay_poll(before.relay, &first, 9, on_incarnation, got);
-	endpoint_run_until(&runner.n, 1);
-	m.call = node.last_call;
-	m.answered = true;
-	m.born_ms = 111;
-	e.body_case = KW__ENVELOPE__BODY_LOOK_REPLY;
-	e.look_reply = &m;
-	endpoint_link(&after, &node, endpoint_listen(&after), 10);
-	relay_poll(after.relay, &second, 10, on_incarnation, got);
-	endpoint_run_until(&runner.n, 2);
-	links_reply_order(node.links, node.last_link, &e);
-	run_loop();
-	cr_expect_eq(got->len, 0, "the list of r1 was delivered as that of r2");
-	answer_poll(&runner, 0, 111);
-	answer_poll(&runner, 1, 222);
+	struct two_schedulers t;
+	Kw__Envelope e;
+	Cell__LookReply m;
+
+	two_schedulers_open(&t);
+	fill_reply(&e, &m, t.first_call);
+	links_reply_order(t.node.links, t.node.last_link, &e);
 	run_loop();
-	cr_assert_eq(got->len, 1);
-	cr_expect_eq(g_array_index(got, int64_t, 0), 222);
-	endpoint_close(&node);
-	endpoint_close(&after);
-	endpoint_close(&before);
+	cr_expect_eq(t.got->len, 0, "the list of r1 was delivered as that of r2");
+	two_schedulers_close(&t);
 }
