joblog: read the log in pages of 64 KiB

Cause: followers read the progress of all jobs once a second, in one page of up to 1 MiB. On a link of 10 Mbit/s that takes 0.84 s or more; past 900 ms the read was given up and the same page was requested again. Change: a read is limited to 64 KiB. The limit is halved when a read gets no answer, and doubled while a page is too small for the next record. Test: joblog/pages_suit_the_link; all three cases failed with the old limit.

--- a/packages/node/ports.h
+++ b/packages/node/ports.h
@@ -47,6 +47,10 @@
 /* page is NULL unless result is STORE_OK or STORE_TRIMMED; then only oldest_offset is set. */
 typedef void (*page_fn)(void *ctx, enum store_result result, const struct store_page *page);
 
+/* Takes 50 ms on a link of 10 Mbit/s, so that other messages are not delayed for longer. */
+#define STORE_PAGE_BYTES     65536
+#define STORE_PAGE_MAX_BYTES 1048576 /* more than the largest record */
+
 struct store_ops {
 	/*
 	 * append - records holds struct log_record; an empty array only sets the producer's epoch.
@@ -54,9 +58,12 @@
 	void (*append)(void *impl, const char *topic, uint32_t part, const GPtrArray *records,
 		       const struct append_cond *cond, uint32_t timeout_ms, appended_fn fn,
 		       void *ctx);
-	/* read - waits up to wait_ms for a record. */
+	/*
+	 * read - waits up to wait_ms for a record. The page has at most max_bytes, rounded up to
+	 * KiB; it may be empty if the next record is larger.
+	 */
 	void (*read)(void *impl, const char *topic, uint32_t part, uint64_t from, uint32_t wait_ms,
-		     page_fn fn, void *ctx);
+		     uint32_t max_bytes, page_fn fn, void *ctx);
 	/* newest - reads the newest record of each key after `after` ("" for all). */
 	void (*newest)(void *impl, const char *topic, uint32_t part, const char *after, page_fn fn,
 		       void *ctx);
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -193,7 +193,8 @@
 static void read_log(struct election *e, uint32_t wait_ms)
 {
 	e->reading = true;
-	e->store.ops->read(e->store.impl, TOPIC, 0, e->next_offset, wait_ms, on_read, e);
+	e->store.ops->read(e->store.impl, TOPIC, 0, e->next_offset, wait_ms, STORE_PAGE_BYTES,
+			   on_read, e);
 }
 
 static void append(struct election *e, Cell__LeadKind kind);
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -24,6 +24,7 @@
 	uint64_t next_offset;
 	char *after_key;	/* last key of the initial load, "" at its start, NULL afterwards */
 	uint64_t resume_offset; /* where reads start after the initial load */
+	uint32_t page_bytes;	/* limit of a read */
 	uint32_t generation;	/* answers to reads of an older one are ignored */
 	bool reading;
 	bool end_seen; /* during the current refresh */
--- a/packages/node/process/joblog_read.c
+++ b/packages/node/process/joblog_read.c
@@ -5,6 +5,7 @@
 
 #define FOLLOWER_READ_MS  1000 /* between reads of a follower; waiting counts may be 2 s old */
 #define SCHEDULER_READ_MS 300  /* between reads of the scheduler, which appends most jobs itself */
+#define PAGE_MIN_BYTES	  8192 /* 330 ms on a link of 200 Kbit/s */
 
 struct read_call {
 	struct reader *reader;
@@ -19,6 +20,7 @@
 	r->next_offset = 0;
 	r->resume_offset = 0;
 	r->due_ms = 0;
+	r->page_bytes = STORE_PAGE_BYTES;
 	g_free(r->after_key);
 	r->after_key = g_strdup("");
 }
@@ -97,6 +99,21 @@
 		finish_refresh(j, STORE_OK);
 }
 
+/*
+ * A page that the link doesn't carry within the read's timeout would be requested again and again,
+ * and would delay all other messages meanwhile. A page may be too small for the next record.
+ */
+static void adapt_page(struct reader *r, enum store_result result, const struct store_page *page)
+{
+	if (result == STORE_UNKNOWN)
+		r->page_bytes = MAX(r->page_bytes / 2, PAGE_MIN_BYTES);
+	else if (result == STORE_OK && page->n == 0 && r->next_offset < page->next_offset)
+		r->page_bytes = MIN(r->page_bytes * 2, STORE_PAGE_MAX_BYTES);
+	else if (result == STORE_OK && r->page_bytes != STORE_PAGE_BYTES)
+		r->page_bytes =
+			r->page_bytes < STORE_PAGE_BYTES ? r->page_bytes * 2 : STORE_PAGE_BYTES;
+}
+
 static void on_page(void *ctx, enum store_result result, const struct store_page *page)
 {
 	struct read_call *call = ctx;
@@ -111,6 +128,8 @@
 	r->reading = false;
 	r->due_ms = node_now_ms();
 	joblog_record_result(j, result);
+	if (!was_load)
+		adapt_page(r, result, page);
 	if (result == STORE_TRIMMED) {
 		/* Records were trimmed before they were read: load the log again. */
 		log_warn("read", NULL, "the log was trimmed past offset %" G_GUINT64_FORMAT,
@@ -152,7 +171,8 @@
 	if (r->after_key)
 		j->store.ops->newest(j->store.impl, TOPIC, r->part, r->after_key, on_page, call);
 	else
-		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next_offset, 0, on_page, call);
+		j->store.ops->read(j->store.impl, TOPIC, r->part, r->next_offset, 0, r->page_bytes,
+				   on_page, call);
 }
 
 void joblog_refresh(struct joblog *j, joblog_done_fn fn, void *ctx)
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -48,6 +48,7 @@
 	struct append_cond cond;
 	uint64_t from;
 	uint32_t wait_ms;
+	uint32_t max_bytes; /* of a page, 0 for no limit */
 	int64_t called_ms;
 	appended_fn appended;
 	page_fn page;
@@ -66,6 +67,7 @@
 	GPtrArray *late;  /* unanswered appends of FAKE_LATE */
 	GHashTable *held; /* keys of the partitions whose reads are held back */
 	uint32_t appends;
+	size_t carried_bytes; /* a larger page takes longer than a read may take; 0 for no limit */
 };
 
 static void rec_clear(gpointer data)
@@ -244,12 +246,13 @@
 }
 
 static void on_read(void *impl, const char *topic, uint32_t part, uint64_t from, uint32_t wait_ms,
-		    page_fn fn, void *ctx)
+		    uint32_t max_bytes, page_fn fn, void *ctx)
 {
 	struct call *call = page_call(impl, CALL_READ, topic, part, fn, ctx);
 
 	call->from = from;
 	call->wait_ms = wait_ms;
+	call->max_bytes = max_bytes;
 }
 
 static void on_newest(void *impl, const char *topic, uint32_t part, const char *after, page_fn fn,
@@ -332,21 +335,34 @@
 	return r->size > 0;
 }
 
-static void answer_page(struct part *p, struct call *call, uint64_t from, uint64_t end)
+static void answer_page(struct fake_client *c, struct part *p, struct call *call, uint64_t from,
+			uint64_t end)
 {
 	g_autofree struct store_record *rec = g_new0(struct store_record, p->rec->len + 1);
 	struct store_page page = { .record = rec, .next_offset = end };
+	size_t bytes = 0;
 
 	for (uint64_t i = from; i < end; i++) {
 		const struct rec *r = &g_array_index(p->rec, struct rec, i);
 
 		if (call->kind == CALL_NEWEST && !is_newest(p, i, end))
 			continue;
+		if (call->max_bytes && bytes + r->size > call->max_bytes)
+			break;
+		bytes += r->size;
 		rec[page.n++] = (struct store_record){
 			.offset = i, .key = r->key, .value = r->value, .size = r->size
 		};
 	}
-	call->page(call->ctx, STORE_OK, &page);
+	if (c->carried_bytes && bytes > c->carried_bytes)
+		call->page(call->ctx, STORE_UNKNOWN, NULL);
+	else
+		call->page(call->ctx, STORE_OK, &page);
+}
+
+void fake_limit_pages(struct fake_client *c, size_t carried_bytes)
+{
+	c->carried_bytes = carried_bytes;
 }
 
 static bool is_waiting(struct fake_client *c, const struct part *p, const struct call *call)
@@ -386,9 +402,9 @@
 	} else if (call->kind == CALL_READ && call->from < p->oldest && serves_reads(c)) {
 		answer_trimmed(p, call);
 	} else if (call->computed) {
-		answer_page(p, call, call->from, call->computed_end);
+		answer_page(c, p, call, call->from, call->computed_end);
 	} else if (serves_reads(c)) {
-		answer_page(p, call, call->kind == CALL_READ ? call->from : 0, p->rec->len);
+		answer_page(c, p, call, call->kind == CALL_READ ? call->from : 0, p->rec->len);
 	} else {
 		call->page(call->ctx, result, NULL);
 	}
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -36,6 +36,8 @@
  */
 void fake_hold_reads(struct fake_client *c, const char *topic, uint32_t part);
 void fake_release_reads(struct fake_client *c, const char *topic, uint32_t part);
+/* fake_limit_pages - reads of larger pages time out, as on a narrow link. */
+void fake_limit_pages(struct fake_client *c, size_t carried_bytes);
 /*
  * fake_hold_appends - executes the queued appends, but holds back their answers until
  * fake_release_appends().
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -700,3 +700,48 @@
 		teardown(&f);
 	}
 }
+
+/*
+ * A follower that is behind reads what its link carries within the timeout of a read. It used to
+ * request everything at once, which timed out each time and took all of the link.
+ */
+#define REFRESHES_MAX 4
+
+struct page_case {
+	const char *what;
+	uint32_t records;
+	size_t record_bytes;
+	size_t carried_bytes;
+};
+
+static const struct page_case page_cases[] = {
+	{ "many records", 60, 20000, 300000 },
+	{ "a record larger than a page", 3, 200000, 250000 },
+	{ "a narrow link", 200, 4000, 20000 },
+};
+
+Test(joblog, pages_suit_the_link)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(page_cases); i++) {
+		const struct page_case *c = &page_cases[i];
+		g_autofree uint8_t *filler = g_malloc0(c->record_bytes);
+		struct fixture f = { 0 };
+
+		setup(&f, fake_log_create());
+		advance(&f, 1200);
+		for (uint32_t k = 0; k < c->records; k++) {
+			g_autofree char *key = g_strdup_printf("%016x/c", k);
+
+			fake_add_record(f.log, TOPIC, JOBLOG_JOBS, key, filler, c->record_bytes);
+		}
+		fake_limit_pages(f.client, c->carried_bytes);
+		for (int k = 0; k < REFRESHES_MAX && f.results == 0; k++) {
+			joblog_refresh(f.joblog, on_result, &f);
+			advance(&f, 2000);
+			f.results = f.result == STORE_OK ? f.results : 0;
+		}
+		cr_expect_eq(f.result, STORE_OK, "%s", c->what);
+		cr_expect_geq(f.results, 1, "%s", c->what);
+		teardown(&f);
+	}
+}
--- a/tests/platform/test_discovery.c
+++ b/tests/platform/test_discovery.c
@@ -84,7 +84,7 @@
 }
 
 static void fake_read(void *impl, const char *topic, uint32_t part, uint64_t from, uint32_t wait_ms,
-		      page_fn fn, void *ctx)
+		      uint32_t max_bytes, page_fn fn, void *ctx)
 {
 	struct fake *f = impl;
 
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -198,7 +198,7 @@
 		g_string_append_len(text, cases[i].body, (gssize)cases[i].size);
 		step.text = text->str;
 		step.size = text->len;
-		log_store_ops.read(store, "keyed.topic", 0, 5, 0, on_read, &o);
+		log_store_ops.read(store, "keyed.topic", 0, 5, 0, STORE_PAGE_BYTES, on_read, &o);
 		cr_assert(raw_wait_until(is_read, &o));
 		cr_expect_eq(o.result, cases[i].result, "%s: result %d", cases[i].name, o.result);
 		cr_expect_eq(o.n, cases[i].n, "%s: %zu records", cases[i].name, o.n);
