cell: smaller records of progress

Cause: a job's record is written with each change of the job and read by all nodes; it named the runner of each task, with its incarnation, and kept rows with checkpoints for tasks that are done and jobs that have ended. Records of older releases are still read.

--- a/packages/cell/process/job_table.c
+++ b/packages/cell/process/job_table.c
@@ -107,7 +107,7 @@
 
 static bool apply_progress(struct job_table *t, const char *id, const uint8_t *value, size_t size)
 {
-	Cell__Progress *progress = cell__progress__unpack(NULL, size, value);
+	Cell__Progress *progress = cell_job_unpack_progress(value, size);
 	struct cell_job *j;
 
 	if (!progress)
--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -30,52 +30,6 @@
 	return s->begun_jobs->len ? s->begun_due_ms : INT64_MAX;
 }
 
-static void add_task(Cell__TaskProgress *t, const struct job_task *task, uint32_t number)
-{
-	*t = (Cell__TaskProgress)CELL__TASK_PROGRESS__INIT;
-	t->task = number;
-	t->run = task->last_run;
-	t->failures = task->failures;
-	t->done = task->done;
-	if (task->checkpoint)
-		t->checkpoint = task->checkpoint;
-	if (task->live_run) {
-		t->runner = task->live_run->runner->id;
-		t->born_ms = task->live_run->runner->incarnation_ms;
-	}
-}
-
-uint8_t *cell_job_pack_progress(const struct cell_job *j, size_t *size)
-{
-	Cell__Progress m = CELL__PROGRESS__INIT;
-	g_autofree Cell__TaskProgress *row = g_new(Cell__TaskProgress, j->n_task);
-	g_autofree Cell__TaskProgress **rows = g_new(Cell__TaskProgress *, j->n_task);
-	uint8_t *buf;
-
-	m.state = j->state;
-	m.ended_ms = j->ended_ms;
-	m.task = rows;
-	for (uint32_t i = 0; i < j->n_task; i++) {
-		if (!j->task[i].last_run)
-			continue;
-		add_task(&row[m.n_task], &j->task[i], i);
-		rows[m.n_task] = &row[m.n_task];
-		m.n_task++;
-	}
-	*size = cell__progress__get_packed_size(&m);
-	buf = g_malloc(*size + 1);
-	cell__progress__pack(&m, buf);
-	/* An empty value would delete the key. ended_ms has no meaning before the end. */
-	if (*size == 0) {
-		m.ended_ms = -1;
-		*size = cell__progress__get_packed_size(&m);
-		g_free(buf);
-		buf = g_malloc(*size);
-		cell__progress__pack(&m, buf);
-	}
-	return buf;
-}
-
 static void record_free(gpointer data)
 {
 	struct log_record *r = data;
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -103,7 +103,7 @@
 	cell_runner_add_run(rn, r);
 	runs_attach(j, r);
 	/* An earlier run has finished the task. */
-	if (t->done)
+	if (j->task[t->task].done)
 		scheduler_stop_run(s, r);
 }
 
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -107,6 +107,11 @@
 		j->step[i].done = 0;
 }
 
+static bool is_marked_done(const Cell__Progress *progress, uint32_t task)
+{
+	return task / 8 < progress->done.len && progress->done.data[task / 8] >> task % 8 & 1;
+}
+
 void cell_job_apply_progress(struct cell_job *j, const Cell__Progress *progress)
 {
 	clear_progress(j);
@@ -123,8 +128,11 @@
 		j->task[t->task].failures = t->failures;
 		j->task[t->task].done = t->done;
 		cell_job_set_checkpoint(j, t->task, t->checkpoint);
-		if (t->done)
-			cell_job_step_of(j, t->task)->done++;
+	}
+	for (uint32_t i = 0; i < j->n_task; i++) {
+		j->task[i].done = j->task[i].done || is_marked_done(progress, i);
+		if (j->task[i].done)
+			cell_job_step_of(j, i)->done++;
 	}
 }
 
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -96,6 +96,11 @@
  * record with g_free(); its size is stored in *size.
  */
 uint8_t *cell_job_pack_progress(const struct cell_job *j, size_t *size);
+/*
+ * cell_job_unpack_progress - reads such a record. Each task names its runner itself. Returns NULL
+ * if it can't be read; free it with cell__progress__free_unpacked().
+ */
+Cell__Progress *cell_job_unpack_progress(const uint8_t *value, size_t size);
 
 /* cell_job_step_of - returns the step of a task. */
 struct job_step *cell_job_step_of(const struct cell_job *j, uint32_t task);
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &cell__task_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell__runner_ref__init
+                     (Cell__RunnerRef         *message)
+{
+  static const Cell__RunnerRef init_value = CELL__RUNNER_REF__INIT;
+  *message = init_value;
+}
+size_t cell__runner_ref__get_packed_size
+                     (const Cell__RunnerRef *message)
+{
+  assert(message->base.descriptor == &cell__runner_ref__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__runner_ref__pack
+                     (const Cell__RunnerRef *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__runner_ref__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__runner_ref__pack_to_buffer
+                     (const Cell__RunnerRef *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__runner_ref__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__RunnerRef *
+       cell__runner_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__RunnerRef *)
+     protobuf_c_message_unpack (&cell__runner_ref__descriptor,
+                                allocator, len, data);
+}
+void   cell__runner_ref__free_unpacked
+                     (Cell__RunnerRef *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__runner_ref__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cell__progress__init
                      (Cell__Progress         *message)
 {
@@ -1463,7 +1508,7 @@
   (ProtobufCMessageInit) cell__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[8] =
 {
   {
     "task",
@@ -1549,6 +1594,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "runner_index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, runner_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
@@ -1557,12 +1614,13 @@
   2,   /* field[2] = failures */
   1,   /* field[1] = run */
   4,   /* field[4] = runner */
+  7,   /* field[7] = runner_index */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange cell__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cell__task_progress__descriptor =
 {
@@ -1572,14 +1630,65 @@
   "Cell__TaskProgress",
   "cell",
   sizeof(Cell__TaskProgress),
-  7,
+  8,
   cell__task_progress__field_descriptors,
   cell__task_progress__field_indices_by_name,
   1,  cell__task_progress__number_ranges,
   (ProtobufCMessageInit) cell__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cell__runner_ref__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunnerRef, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunnerRef, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__runner_ref__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange cell__runner_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cell__runner_ref__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.RunnerRef",
+  "RunnerRef",
+  "Cell__RunnerRef",
+  "cell",
+  sizeof(Cell__RunnerRef),
+  2,
+  cell__runner_ref__field_descriptors,
+  cell__runner_ref__field_indices_by_name,
+  1,  cell__runner_ref__number_ranges,
+  (ProtobufCMessageInit) cell__runner_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__progress__field_descriptors[5] =
 {
   {
     "state",
@@ -1617,16 +1726,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cell__Progress, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cell__Progress, n_runner),
+    offsetof(Cell__Progress, runner),
+    &cell__runner_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__progress__field_indices_by_name[] = {
+  3,   /* field[3] = done */
   1,   /* field[1] = ended_ms */
+  4,   /* field[4] = runner */
   0,   /* field[0] = state */
   2,   /* field[2] = task */
 };
 static const ProtobufCIntRange cell__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cell__progress__descriptor =
 {
@@ -1636,7 +1771,7 @@
   "Cell__Progress",
   "cell",
   sizeof(Cell__Progress),
-  3,
+  5,
   cell__progress__field_descriptors,
   cell__progress__field_indices_by_name,
   1,  cell__progress__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Cell__Step Cell__Step;
 typedef struct Cell__Job Cell__Job;
 typedef struct Cell__TaskProgress Cell__TaskProgress;
+typedef struct Cell__RunnerRef Cell__RunnerRef;
 typedef struct Cell__Progress Cell__Progress;
 typedef struct Cell__Lead Cell__Lead;
 typedef struct Cell__LinkHello Cell__LinkHello;
@@ -116,15 +117,30 @@
   uint32_t failures;
   protobuf_c_boolean done;
   /*
-   * Runner of a run that may still exist; empty for none.
+   * Runner of a run that may still exist; empty for none. Older releases write it here.
    */
   char *runner;
   int64_t born_ms;
   char *checkpoint;
+  /*
+   * Index + 1 of the runner in Progress.runner; 0 for none.
+   */
+  uint32_t runner_index;
 };
 #define CELL__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Cell__RunnerRef
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t born_ms;
+};
+#define CELL__RUNNER_REF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__runner_ref__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cell__Progress
@@ -134,10 +150,16 @@
   int64_t ended_ms;
   size_t n_task;
   Cell__TaskProgress **task;
+  /*
+   * Bit N of byte N / 8: task N is done. Older releases say so in `task`.
+   */
+  ProtobufCBinaryData done;
+  size_t n_runner;
+  Cell__RunnerRef **runner;
 };
 #define CELL__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__progress__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, {0,NULL}, 0,NULL }
 
 
 struct  Cell__Lead
@@ -468,6 +490,25 @@
 void   cell__task_progress__free_unpacked
                      (Cell__TaskProgress *message,
                       ProtobufCAllocator *allocator);
+/* Cell__RunnerRef methods */
+void   cell__runner_ref__init
+                     (Cell__RunnerRef         *message);
+size_t cell__runner_ref__get_packed_size
+                     (const Cell__RunnerRef   *message);
+size_t cell__runner_ref__pack
+                     (const Cell__RunnerRef   *message,
+                      uint8_t             *out);
+size_t cell__runner_ref__pack_to_buffer
+                     (const Cell__RunnerRef   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__RunnerRef *
+       cell__runner_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__runner_ref__free_unpacked
+                     (Cell__RunnerRef *message,
+                      ProtobufCAllocator *allocator);
 /* Cell__Progress methods */
 void   cell__progress__init
                      (Cell__Progress         *message);
@@ -840,6 +881,9 @@
 typedef void (*Cell__TaskProgress_Closure)
                  (const Cell__TaskProgress *message,
                   void *closure_data);
+typedef void (*Cell__RunnerRef_Closure)
+                 (const Cell__RunnerRef *message,
+                  void *closure_data);
 typedef void (*Cell__Progress_Closure)
                  (const Cell__Progress *message,
                   void *closure_data);
@@ -907,6 +951,7 @@
 extern const ProtobufCMessageDescriptor cell__step__descriptor;
 extern const ProtobufCMessageDescriptor cell__job__descriptor;
 extern const ProtobufCMessageDescriptor cell__task_progress__descriptor;
+extern const ProtobufCMessageDescriptor cell__runner_ref__descriptor;
 extern const ProtobufCMessageDescriptor cell__progress__descriptor;
 extern const ProtobufCMessageDescriptor cell__lead__descriptor;
 extern const ProtobufCMessageDescriptor cell__link_hello__descriptor;
--- a/tests/cell/test_job.c
+++ b/tests/cell/test_job.c
@@ -164,7 +164,7 @@
 	j->task[1].last_run = 1;
 	cell_job_mark_task_done(j, 1);
 	buf = cell_job_pack_progress(j, &size);
-	m = cell__progress__unpack(NULL, size, buf);
+	m = cell_job_unpack_progress(buf, size);
 	cell_job_apply_progress(copy, m);
 	cr_assert_eq(copy->stored_state, JOB_RUNNING);
 	cr_assert_eq(copy->task[0].last_run, 2);
@@ -188,3 +188,115 @@
 	cr_assert_gt(size, 0, "an empty record would delete the key");
 	cell_job_destroy(j);
 }
+
+/* Records of releases that named the runner of each task, and of records that can't be read. */
+struct unpack_case {
+	const char *what;
+	Cell__TaskProgress task;
+	uint32_t runners;   /* named in the record */
+	const char *runner; /* of the task, NULL if the record can't be read */
+	bool done;
+};
+
+static const struct unpack_case unpack_cases[] = {
+	{ "no runner", { .run = 1 }, 0, "", false },
+	{ "an older release", { .run = 1, .runner = "r7", .born_ms = 5 }, 0, "r7", false },
+	{ "an older release, done", { .run = 1, .done = true }, 0, "", true },
+	{ "a runner named once", { .run = 1, .runner_index = 2 }, 2, "s1", false },
+	{ "a runner that is missing", { .run = 1, .runner_index = 3 }, 2, NULL, false },
+	{ "a runner named twice", { .run = 1, .runner = "r7", .runner_index = 1 }, 1, NULL, false },
+};
+
+static uint8_t *pack_case(const struct unpack_case *c, size_t *size)
+{
+	Cell__Progress m = CELL__PROGRESS__INIT;
+	Cell__TaskProgress t = CELL__TASK_PROGRESS__INIT;
+	Cell__TaskProgress *tasks[] = { &t };
+	Cell__RunnerRef ref[2] = { CELL__RUNNER_REF__INIT, CELL__RUNNER_REF__INIT };
+	Cell__RunnerRef *refs[] = { &ref[0], &ref[1] };
+	uint8_t *buf;
+
+	t.run = c->task.run;
+	t.done = c->task.done;
+	t.runner_index = c->task.runner_index;
+	t.born_ms = c->task.born_ms;
+	if (c->task.runner)
+		t.runner = c->task.runner;
+	ref[0].id = "s0";
+	ref[1].id = "s1";
+	m.task = tasks;
+	m.n_task = 1;
+	m.runner = refs;
+	m.n_runner = c->runners;
+	*size = cell__progress__get_packed_size(&m);
+	buf = g_malloc(*size);
+	cell__progress__pack(&m, buf);
+	return buf;
+}
+
+Test(cell_job, progress_of_other_releases)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(unpack_cases); i++) {
+		const struct unpack_case *c = &unpack_cases[i];
+		struct cell_job *j = make(fixture_new_job(ID, "q", 1, 100));
+		size_t size;
+		g_autofree uint8_t *buf = pack_case(c, &size);
+		Cell__Progress *m = cell_job_unpack_progress(buf, size);
+
+		cr_expect_eq(m != NULL, c->runner != NULL, "%s", c->what);
+		if (m && c->runner) {
+			cr_expect_str_eq(m->task[0]->runner, c->runner, "%s", c->what);
+			cell_job_apply_progress(j, m);
+			cr_expect_eq(j->task[0].done, c->done, "%s", c->what);
+			cr_expect_eq(j->task[0].last_run, 1, "%s", c->what);
+		}
+		if (m)
+			cell__progress__free_unpacked(m, NULL);
+		cell_job_destroy(j);
+	}
+}
+
+/* All nodes read each record, so tasks that are done and jobs that have ended take little room. */
+struct size_case {
+	const char *what;
+	uint32_t done; /* of 100 tasks, each with a run */
+	enum job_state state;
+	size_t max_bytes;
+};
+
+static const struct size_case size_cases[] = {
+	{ "no task is done", 0, JOB_RUNNING, 700 },
+	{ "all but one are done", 99, JOB_RUNNING, 40 },
+	{ "failed, half of them done", 50, JOB_FAILED, 12 },
+	{ "done", 100, JOB_DONE, 12 },
+};
+
+Test(cell_job, progress_is_small)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(size_cases); i++) {
+		const struct size_case *c = &size_cases[i];
+		struct cell_job *j = make(fixture_new_job(ID, "q", 100, 100));
+		struct cell_job *copy = make(fixture_new_job(ID, "q", 100, 100));
+		g_autofree uint8_t *buf = NULL;
+		Cell__Progress *m;
+		size_t size;
+
+		for (uint32_t k = 0; k < 100; k++) {
+			j->task[k].last_run = 3;
+			if (k < c->done)
+				cell_job_mark_task_done(j, k);
+		}
+		j->state = c->state;
+		buf = cell_job_pack_progress(j, &size);
+		cr_expect_leq(size, c->max_bytes, "%s: %zu bytes", c->what, size);
+		m = cell_job_unpack_progress(buf, size);
+		cr_assert_not_null(m);
+		cell_job_apply_progress(copy, m);
+		cr_expect_eq(copy->stored_state, c->state, "%s", c->what);
+		if (c->state == JOB_RUNNING)
+			cr_expect_eq(copy->step[0].done, c->done, "%s", c->what);
+		cell__progress__free_unpacked(m, NULL);
+		cell_job_destroy(copy);
+		cell_job_destroy(j);
+	}
+}
