cell: don't stop the members of a gang that is done

Cause: when the end of one member was listed, the others, which end with it, got stop orders that their runners refuse. Change: members of the run that ended are left to be listed; those of another run are stopped. Test: scheduler/members_of_a_finished_gang_are_not_stopped, failed before (2 stops instead of 0).

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -65,6 +65,7 @@
 	uint32_t start_orders;	  /* sent so far */
 	bool inherited; /* started by an earlier scheduler, not yet listed by the runner */
 	bool stopping;	/* a stop was requested, maybe not sent yet */
+	bool gang_done; /* its gang has ended as done, and its own end will be listed */
 	bool listed;	/* in the poll reply being read */
 };
 
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -28,7 +28,20 @@
 	scheduler_report_runner(s, DECISION_RUNNER_QUARANTINED, rn, MIN(pause, QUARANTINE_MAX_MS));
 }
 
-static void finish_task(struct scheduler *s, struct cell_job *j, uint32_t task)
+/* The members of a gang end together. Only those of another run of the gang have to be stopped. */
+static void finish_gang(struct scheduler *s, struct cell_job *j, struct job_step *step,
+			uint32_t run_number)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct run *r = j->task[step->first_task + i].live_run;
+
+		if (r && r->number == run_number)
+			r->gang_done = true;
+	}
+	scheduler_stop_gang(s, j, step);
+}
+
+static void finish_task(struct scheduler *s, struct cell_job *j, uint32_t task, uint32_t run_number)
 {
 	struct job_step *step = cell_job_step_of(j, task);
 
@@ -36,7 +49,7 @@
 		return;
 	cell_job_mark_task_done(j, task);
 	if (step->spec->gang)
-		scheduler_stop_gang(s, j, step);
+		finish_gang(s, j, step, run_number);
 	if (cell_job_all_done(j))
 		scheduler_end_job(s, j, JOB_DONE);
 }
@@ -64,7 +77,7 @@
 		rn->consecutive_failures = 0;
 		if (step->spec->lasting)
 			return;
-		finish_task(s, j, task);
+		finish_task(s, j, task, end->run);
 	} else if (end->end == END_FAILED) {
 		end_failed(s, rn, j, task);
 	}
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -104,7 +104,7 @@
 
 void scheduler_stop_run(struct scheduler *s, struct run *r)
 {
-	if (r->stopping)
+	if (r->stopping || r->gang_done)
 		return;
 	r->stopping = true;
 	/* In RUN_SENT the stop follows the answer to the start, which is due soon. */
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -667,3 +667,67 @@
 	cr_expect_eq(job_table_size(f->jobs), ENDED);
 	fixture_destroy(f);
 }
+
+/* A job that runs on few runners names each of them once in its record. */
+Test(scheduler, intents_name_each_runner_once)
+{
+	enum { TASKS = 40 };
+	struct fixture *f = fixture_default(2, 1000 * TASKS);
+	Cell__Progress *m;
+	const struct log_record *r;
+
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", TASKS, 1000));
+	fixture_advance(f, 1);
+	cr_assert_not_null(f->records);
+	r = f->records->pdata[0];
+	cr_expect_leq(r->size, TASKS * 10, "%zu bytes", r->size);
+	m = cell_job_unpack_progress(r->value, r->size);
+	cr_assert_not_null(m);
+	cr_assert_eq(m->n_task, TASKS);
+	for (size_t i = 0; i < m->n_task; i++) {
+		cr_expect_eq(*m->task[i]->runner, 'r');
+		cr_expect_gt(m->task[i]->born_ms, 0);
+	}
+	cell__progress__free_unpacked(m, NULL);
+	fixture_destroy(f);
+}
+
+/*
+ * The members of a gang end together, and each runner lists the end of its own. Stop orders to
+ * them would be refused; they were a third of all orders on a busy day. Members of another run of
+ * the gang still run and have to be stopped.
+ */
+struct gang_end_case {
+	const char *what;
+	uint32_t run_ended; /* the run that is listed as done */
+	guint stops;
+};
+
+static const struct gang_end_case gang_end_cases[] = {
+	{ "the current run", 2, 0 },
+	{ "an earlier run that was lost", 1, 3 },
+};
+
+Test(scheduler, members_of_a_finished_gang_are_not_stopped)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(gang_end_cases); i++) {
+		const struct gang_end_case *c = &gang_end_cases[i];
+		struct fixture *f = fixture_default(3, 1000);
+		Cell__Job *job = fixture_new_job(ID_A, "urgent", 3, 1000);
+		g_autofree char *runner = NULL;
+		g_autofree char *task = NULL;
+
+		job->step[0]->gang = true;
+		fixture_submit_and_start(f, job);
+		cr_assert_eq(f->starts, 3);
+		for (uint32_t k = 0; k < 3; k++)
+			fixture_find_job(f, ID_A)->task[k].live_run->number = 2;
+		runner = g_strdup(fixture_find_job(f, ID_A)->task[0].live_run->runner->id);
+		task = g_strdup_printf("%s.0.0.0", ID_A);
+		fixture_end_run(f, runner, 1, task, c->run_ended, END_DONE);
+		fixture_advance(f, 1);
+		cr_expect_eq(fixture_find_job(f, ID_A)->state, JOB_DONE, "%s", c->what);
+		cr_expect_eq(f->stop->len, c->stops, "%s: %u stops", c->what, f->stop->len);
+		fixture_destroy(f);
+	}
+}
