cell: cheaper placement passes; gangs keep room and ask for enough runners

Cause: each pass examined all runners again for each task of each waiting step. With 400 open jobs on 350 runners a pass took 15 to 20 ms of the scheduler's half core and three times that in rest, so each decision waited for up to 80 ms, more jobs became late and more steps waited. Change: step_room examines the runners once for a step, and those that get a task once more each. A gang names as many runners as it needs at a third of approvals, asks for more until the approved ones could hold it in half of their capacity, and keeps the room that they have. The spread of a step now holds within a gang (its members were placed beyond it). Tests: advice/a_gang_asks_for_as_many_runners_as_it_needs, placement/gangs_are_spread, placement/a_gang_keeps_room_on_approved_runners.

--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -1,9 +1,10 @@
 #include "advice_request.h"
 
-#define REQUEST_RUNNERS_MAX 100	  /* runners in one request, the platform's limit */
-#define REQUEST_RUNNERS_MIN 8	  /* even if they cost more than half of the request's base cost */
-#define LONG_REQUEST_US	    80000 /* those of urgent steps take 25 ms, all others 155 ms or more */
-#define TICKET_RENEW_MS	    600	  /* before a ticket expires; a request takes 400 ms plus transit */
+#define REQUEST_RUNNERS_MAX	100 /* runners in one request, the platform's limit */
+#define GANG_NAMED_PER_APPROVED 3   /* advisors approve a third of the runners or more */
+#define REQUEST_RUNNERS_MIN	8 /* even if they cost more than half of the request's base cost */
+#define LONG_REQUEST_US		80000 /* those of urgent steps take 25 ms, all others 155 ms or more */
+#define TICKET_RENEW_MS		600 /* before a ticket expires; a request takes 400 ms plus transit */
 /*
  * Some clients get only short requests: a third of those beyond SHORT_ONLY_BASE, and at least one.
  * Of 6 clients that is 1, which the short requests keep 40% busy; of 29 clients it is 8.
@@ -92,11 +93,49 @@
 	s->ops->request_advice(s->ctx, step, names, runners->len, cost_us);
 }
 
-/* As many runners as add half of the request's base cost. */
+/* Tasks of the step that fit into half of the runner. */
+static uint32_t places_in_half(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	int64_t places = INT64_MAX;
+
+	if (ps->need.cpu_milli)
+		places = MIN(places, rn->capacity.cpu_milli / 2 / ps->need.cpu_milli);
+	if (ps->need.mem_bytes)
+		places = MIN(places, rn->capacity.mem_bytes / 2 / ps->need.mem_bytes);
+	if (ps->need.accel)
+		places = MIN(places, rn->capacity.accel / 2 / ps->need.accel);
+	return (uint32_t)CLAMP(places, 1, ps->step->spec->count);
+}
+
+/* Whether the approved runners could hold the gang if they were half empty. */
+static bool approval_suffices(const struct pending_step *ps)
+{
+	uint32_t places = 0;
+
+	for (guint i = 0; i < ps->candidates->len && places < ps->step->spec->count; i++) {
+		const struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
+			places += places_in_half(ps, rn);
+	}
+	return places >= ps->step->spec->count;
+}
+
+/* Runners to name so that those approved can hold the gang. */
+static uint32_t gang_runners(const struct pending_step *ps)
+{
+	uint32_t places = ps->candidates->len ? places_in_half(ps, ps->candidates->pdata[0]) : 1;
+
+	return (ps->step->spec->count + places - 1) / places * GANG_NAMED_PER_APPROVED;
+}
+
+/* As many runners as add half of the request's base cost, or as a gang needs. */
 static uint32_t request_runners_max(const struct pending_step *ps)
 {
 	if (!ps->queue || !ps->queue->advice_per_runner_us)
 		return REQUEST_RUNNERS_MAX;
+	if (ps->step->spec->gang && !approval_suffices(ps))
+		return CLAMP(gang_runners(ps), REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
 	return CLAMP(ps->queue->advice_base_us / ps->queue->advice_per_runner_us / 2,
 		     REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
 }
@@ -107,6 +146,7 @@
 	struct scheduler *s = pass->s;
 	struct advice *a;
 	bool first;
+	bool more;
 
 	if (!ps->step->advice)
 		ps->step->advice = advice_create();
@@ -120,7 +160,8 @@
 	 * A gang or a large task needs the verdicts before there is room, to know on which runners
 	 * to reserve it.
 	 */
-	if (!possible && !(first && (ps->step->spec->gang || ps->large))) {
+	more = ps->step->spec->gang && !approval_suffices(ps);
+	if (!possible && !more && !(first && (ps->step->spec->gang || ps->large))) {
 		s->stats.steps_without_room++;
 		ps->pool->unplaced_in_row++;
 		return;
@@ -131,7 +172,7 @@
 	}
 	/* The first request is for all candidates, later ones only for those with room. */
 	add_candidates(ps, runners, VERDICT_APPROVED, true, request_runners_max(ps));
-	add_candidates(ps, runners, VERDICT_UNKNOWN, !first, request_runners_max(ps));
+	add_candidates(ps, runners, VERDICT_UNKNOWN, !first && !more, request_runners_max(ps));
 	if (runners->len == 0)
 		return;
 	if (!may_send(s, request_cost_us(ps, runners->len))) {
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -46,13 +46,31 @@
 	return false;
 }
 
+uint32_t pending_step_spread_left(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	uint32_t max = ps->step->spec->spread_max;
+	uint32_t used = max ? tasks_on_runner(rn, ps) : 0;
+
+	return max ? max - MIN(max, used) : UINT32_MAX;
+}
+
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn)
 {
 	if (!headroom_fits(rn, &ps->need, ps->headroom_milli))
 		return false;
 	if (interferes(ps, rn))
 		return false;
-	return !ps->step->spec->spread_max || tasks_on_runner(rn, ps) < ps->step->spec->spread_max;
+	return pending_step_spread_left(ps, rn) > 0;
+}
+
+uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max)
+{
+	uint32_t n = 0;
+
+	max = MIN(max, pending_step_spread_left(ps, rn));
+	for (; n < max && pending_step_fits(ps, rn); n++)
+		resources_add(&rn->reserved, &ps->need);
+	return n;
 }
 
 int64_t pending_step_score(const struct pending_step *ps, const struct cell_runner *rn)
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -39,6 +39,13 @@
 bool pending_step_can_use(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_fits - true if the runner has room for one more task of the step now. */
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_spread_left - tasks that the runner may still get by the step's spread. */
+uint32_t pending_step_spread_left(const struct pending_step *ps, const struct cell_runner *rn);
+/*
+ * pending_step_reserve - reserves room on the runner for tasks of the step, at most max. Returns
+ * for how many.
+ */
+uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max);
 /* pending_step_score - lower is better: the preferred rack first, then the tightest fit. */
 int64_t pending_step_score(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_by_free - compares runners (struct cell_runner **) to sort the freest first. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -4,6 +4,7 @@
 #include "advice_request.h"
 #include "reserve.h"
 #include "headroom.h"
+#include "step_room.h"
 
 #define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
 #define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
@@ -85,36 +86,6 @@
 	return 0;
 }
 
-/* The best runner for a task of the step; ticketed: only runners with a valid ticket. */
-static struct cell_runner *best_runner(const struct pass *pass, const struct pending_step *ps,
-				       const struct job_task *task, const char *rack, bool ticketed)
-{
-	int64_t valid_ms = pass->s->now_ms + ORDER_MARGIN_MS;
-	uint32_t avoid = runner_to_avoid(pass, ps, task);
-	struct cell_runner *best = NULL;
-	int64_t best_score = 0;
-
-	for (guint i = 0; i < ps->candidates->len; i++) {
-		struct cell_runner *rn = ps->candidates->pdata[i];
-		int64_t score;
-
-		/* Checked first, since in a full pool most runners fail it. */
-		if (!pending_step_fits(ps, rn) || rn->handle + 1 == avoid)
-			continue;
-		if (rack && g_strcmp0(rn->rack, rack) != 0)
-			continue;
-		if (ticketed && ps->advised &&
-		    !advice_ticket(ps->step->advice, rn->handle, valid_ms))
-			continue;
-		score = pending_step_score(ps, rn);
-		if (!best || score < best_score) {
-			best = rn;
-			best_score = score;
-		}
-	}
-	return best;
-}
-
 static bool task_waits(const struct pass *pass, const struct job_task *task)
 {
 	return !task->done && !task->live_run && task->not_before_ms <= pass->s->now_ms;
@@ -146,33 +117,49 @@
 		advice_request_renew(pass, ps);
 }
 
+/* Whether a runner has room for the task, be it with a valid ticket or without. */
+static bool is_possible(const struct pass *pass, const struct pending_step *ps,
+			const struct job_task *task)
+{
+	uint32_t avoid = runner_to_avoid(pass, ps, task);
+
+	for (guint i = 0; i < ps->candidates->len; i++) {
+		const struct cell_runner *rn = ps->candidates->pdata[i];
+
+		pass->s->stats.examined++;
+		if (rn->handle + 1 != avoid && pending_step_fits(ps, rn))
+			return true;
+	}
+	return false;
+}
+
 static void place_tasks(struct pass *pass, const struct pending_step *ps)
 {
+	struct step_room *room = step_room_create(pass, ps, NULL, true);
 	const Cell__Step *spec = ps->step->spec;
 	uint32_t waiting = 0;
 	bool possible = false;
 	bool first = true; /* one check of `possible` holds for all tasks that avoid no runner */
-	bool full = false;
 
 	for (uint32_t i = 0; i < spec->count; i++) {
 		struct job_task *task = &ps->job->task[ps->step->first_task + i];
 		bool avoids = task->avoid_until_ms > pass->s->now_ms;
-		struct cell_runner *rn = NULL;
+		struct cell_runner *rn;
 
 		if (!task_waits(pass, task))
 			continue;
-		if (!full || avoids)
-			rn = best_runner(pass, ps, task, NULL, true);
+		rn = step_room_best(room, runner_to_avoid(pass, ps, task));
 		if (rn) {
 			place(pass, ps, ps->step->first_task + i, rn);
+			step_room_taken(room, rn);
 			continue;
 		}
 		waiting++;
-		full = full || !avoids;
 		if (ps->advised && !possible && (first || avoids))
-			possible = best_runner(pass, ps, task, NULL, false) != NULL;
+			possible = is_possible(pass, ps, task);
 		first = false;
 	}
+	step_room_destroy(room);
 	pass->s->stats.waiting_tasks += waiting;
 	if (waiting && !ps->advised)
 		ps->pool->unplaced_in_row++;
@@ -190,18 +177,39 @@
 static bool find_gang(const struct pass *pass, const struct pending_step *ps, const char *rack,
 		      bool ticketed, struct cell_runner **out)
 {
+	struct step_room *room = step_room_create(pass, ps, rack, ticketed);
+	uint32_t count = ps->step->spec->count;
 	uint32_t n = 0;
 
-	for (; n < ps->step->spec->count; n++) {
-		out[n] = best_runner(pass, ps, &ps->job->task[ps->step->first_task + n], rack,
-				     ticketed);
+	if (!step_room_holds(room, count)) {
+		step_room_destroy(room);
+		return false;
+	}
+	for (; n < count; n++) {
+		const struct job_task *task = &ps->job->task[ps->step->first_task + n];
+
+		out[n] = step_room_best(room, runner_to_avoid(pass, ps, task));
 		if (!out[n])
 			break;
 		resources_add(&out[n]->reserved, &ps->need);
+		step_room_taken(room, out[n]);
 	}
 	for (uint32_t i = 0; i < n; i++)
 		resources_sub(&out[i]->reserved, &ps->need);
-	return n == ps->step->spec->count;
+	step_room_destroy(room);
+	return n == count;
+}
+
+/* Whether a runner before the i-th one is in the same rack. */
+static bool rack_was_tried(const struct pending_step *ps, guint i)
+{
+	const struct cell_runner *rn = ps->candidates->pdata[i];
+
+	for (guint k = 0; k < i; k++)
+		if (g_strcmp0(((const struct cell_runner *)ps->candidates->pdata[k])->rack,
+			      rn->rack) == 0)
+			return true;
+	return false;
 }
 
 static bool find_gang_rack(const struct pass *pass, const struct pending_step *ps, bool ticketed,
@@ -212,7 +220,8 @@
 	for (guint i = 0; i < ps->candidates->len; i++) {
 		const struct cell_runner *rn = ps->candidates->pdata[i];
 
-		if (rn->rack && find_gang(pass, ps, rn->rack, ticketed, out))
+		if (rn->rack && !rack_was_tried(ps, i) &&
+		    find_gang(pass, ps, rn->rack, ticketed, out))
 			return true;
 	}
 	return false;
@@ -254,6 +263,7 @@
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
 	reserved = (!possible && reserve_by_preemption(pass, ps, spec->count)) ||
+		   (ps->advised && reserve_on_approved(ps, spec->count)) ||
 		   reserve_on_freest(ps, spec->count);
 	if (reserved && !possible && ps->advised)
 		advice_request_renew(pass, ps);
@@ -287,6 +297,7 @@
 	ps.candidates = candidates = g_ptr_array_new();
 	ps.advised = q ? q->advised : j->spec->advised;
 	ps.headroom_milli = headroom_milli(j, pass->s->queues, pass->s->wall_ms);
+	pass->s->stats.examined += ps.pool->runners->len;
 	for (guint i = 0; i < ps.pool->runners->len; i++)
 		if (pending_step_can_use(&ps, ps.pool->runners->pdata[i]))
 			g_ptr_array_add(candidates, ps.pool->runners->pdata[i]);
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -72,6 +72,19 @@
 	return out;
 }
 
+bool reserve_on_approved(const struct pending_step *ps, uint32_t count)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < ps->candidates->len && n < count; i++) {
+		struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
+			n += pending_step_reserve(ps, rn, count - n);
+	}
+	return n > 0;
+}
+
 bool reserve_by_preemption(struct pass *pass, const struct pending_step *ps, uint32_t count)
 {
 	const Cell__Step *spec = ps->step->spec;
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -14,6 +14,12 @@
  * steps of the pool have already done so.
  */
 bool reserve_on_freest(const struct pending_step *ps, uint32_t waiting);
+/*
+ * reserve_on_approved - reserves the room that there is for tasks of an advised step, on approved
+ * runners. A gang keeps it until it has enough: while it waits for further advice or for a task to
+ * end, less urgent tasks would take each free part. Returns false if there is none.
+ */
+bool reserve_on_approved(const struct pending_step *ps, uint32_t count);
 /*
  * reserve_by_preemption - stops runs of less urgent jobs to make room for `count` tasks, and
  * reserves it. For a late job it stops nothing, and reserves room that is free or being freed.
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -247,6 +247,7 @@
 	uint64_t ends[END_GANG_INCOMPLETE + 1];
 	uint64_t runs_lost;
 	uint64_t advice_requests;
+	uint64_t examined; /* runners, each time that placement looks for room on one */
 };
 void scheduler_stats(const struct scheduler *s, struct scheduler_stats *stats);
 
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -278,3 +278,55 @@
 	cr_assert_eq(f->advice_requests, 2, "it is requested again");
 	fixture_destroy(f);
 }
+
+/*
+ * A gang of many members can't be placed on the few runners that a request of half the base cost
+ * names. Once these were approved it waited for room that they could never have.
+ */
+struct gang_request_case {
+	const char *what;
+	uint32_t count;
+	uint32_t cpu_milli; /* a runner has 1000 */
+	size_t named;	    /* by the first request */
+	bool asks_again;    /* if one of them is approved */
+};
+
+static const struct gang_request_case gang_request_cases[] = {
+	{ "few small members", 4, 100, 8, false },
+	{ "large members", 10, 400, 30, true },
+	{ "many members", 30, 250, 45, true },
+	{ "more members than a request may name runners", 60, 600, 100, true },
+};
+
+Test(advice, a_gang_asks_for_as_many_runners_as_it_needs)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(gang_request_cases); i++) {
+		const struct gang_request_case *c = &gang_request_cases[i];
+		struct fixture *f = advised_fixture(150);
+		Cell__Job *filler = fixture_new_job(ID_B, "quick", 150, 950);
+		Cell__Job *job = fixture_new_job(ID_A, "slow", c->count, c->cpu_milli);
+		g_autofree char *approved = NULL;
+
+		/* The pool is full. */
+		fixture_submit(f, filler);
+		fixture_advance(f, 1);
+		for (int k = 0; k < 20 && f->starts < 150; k++) {
+			fixture_advise(f, "", 2000);
+			fixture_advance(f, 1);
+			fixture_ack_batch(f);
+			fixture_accept_starts(f);
+		}
+		cr_assert_eq(f->starts, 150);
+		job->step[0]->gang = true;
+		fixture_submit(f, job);
+		fixture_advance(f, 1);
+		cr_assert_eq(f->advice->len, 1, "%s: %u requests", c->what, f->advice->len);
+		cr_expect_eq(first_request(f)->n, c->named, "%s: %zu", c->what,
+			     first_request(f)->n);
+		approved = g_strdup(first_request(f)->runner[0]);
+		fixture_advise(f, approved, 2000);
+		fixture_advance(f, 1);
+		cr_expect_eq(f->advice->len, c->asks_again, "%s: %u", c->what, f->advice->len);
+		fixture_destroy(f);
+	}
+}
--- /dev/null
+++ b/tests/cell/test_load.c
@@ -0,0 +1,107 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+
+#include "load.h"
+
+/*
+ * Checks that the scheduler of hundreds of runners keeps up with steady traffic, and that it
+ * recovers after bursts, outages of the store and takeovers. KW_LOAD_PRINT=1 prints the figures.
+ */
+
+static const struct load_conf cell = {
+	.seed = 1,
+	.seconds = 30,
+	.runners = 350,
+	.runner_cpu_milli = 16000,
+	.runner_mem_mib = 32768,
+	.advisor_clients = 39,
+	.order_ms = 13,
+	.store_ms = 20,
+	.examine_ns = 12,
+	.cpu_milli = 500,
+	.takeover_ms = 1200,
+	.n_queue = 3,
+	.queue = {
+		{ .name = "plans", .priority = 1, .jobs_per_100_s = 342, .steps_milli = 1200,
+		  .tasks = 20, .task_ms = 6200, .cpu_milli = 4500, .mem_mib = 6300,
+		  .estimate_error_milli = 500, .gang_milli = 1000, .checkpoint_milli = 500,
+		  .fail_milli = 5, .poison_milli = 30, .attempts = 4, .stretch_milli = 2200,
+		  .objective_ms = 1200, .advice_base_us = 550000, .advice_per_runner_us = 7800,
+		  .approved_milli = 300, .worth_milli = 13500 },
+		{ .name = "tallies", .priority = 2, .jobs_per_100_s = 1120, .steps_milli = 1500,
+		  .tasks = 25, .task_ms = 2200, .cpu_milli = 1700, .mem_mib = 1800,
+		  .estimate_error_milli = 500, .checkpoint_milli = 800, .fail_milli = 50,
+		  .poison_milli = 10, .attempts = 2, .stretch_milli = 4000,
+		  .objective_ms = 3000, .advice_base_us = 80000, .advice_per_runner_us = 1100,
+		  .approved_milli = 450, .worth_milli = 2590 },
+		{ .name = "posts", .priority = 0, .jobs_per_100_s = 10000, .steps_milli = 1000,
+		  .tasks = 3, .task_ms = 800, .cpu_milli = 2500, .mem_mib = 4600,
+		  .estimate_error_milli = 900, .gang_milli = 300, .fail_milli = 50,
+		  .poison_milli = 30, .attempts = 3, .stretch_milli = 1500,
+		  .objective_ms = 400, .advice_base_us = 9000, .advice_per_runner_us = 130,
+		  .approved_milli = 700, .worth_milli = 405 },
+	},
+};
+
+static uint32_t share_milli(const struct load_count *c)
+{
+	return c->jobs ? c->in_time * 1000 / c->jobs : 1000;
+}
+
+static struct load_conf seeded(struct load_conf conf)
+{
+	const char *seed = g_getenv("KW_LOAD_SEED");
+
+	conf.seed = seed ? (uint32_t)atoi(seed) : conf.seed;
+	return conf;
+}
+
+static void print(const struct load_conf *conf, const struct load_result *r)
+{
+	if (!g_getenv("KW_LOAD_PRINT"))
+		return;
+	g_print("worth %u; advice %u, %lu ms; starts %u, stopped %u, lost %u, wasted %u core-s; "
+		"stop orders %u; passes %u, examined %lu a pass, longest %u us; open jobs %u; log "
+		"%lu KB in %u batches\n",
+		r->worth_milli, r->advice_requests, (unsigned long)r->advice_ms, r->starts,
+		r->stopped, r->lost, r->wasted_core_s, r->stop_orders, r->passes,
+		(unsigned long)(r->examined / MAX(r->passes, 1)), r->longest_pass_us, r->open_jobs,
+		(unsigned long)r->log_bytes / 1000, r->batches);
+	for (uint32_t i = 0; i < conf->n_queue; i++)
+		g_print("  %s: %u jobs, in time %u, late %u, mean %lu ms, first start %lu ms, %u runs preempted, %u runs for %u tasks\n", conf->queue[i].name,
+			r->queue[i].jobs, share_milli(&r->queue[i]), r->queue[i].late,
+			(unsigned long)(r->queue[i].total_ms /
+					MAX(r->queue[i].in_time + r->queue[i].late, 1)),
+			(unsigned long)(r->queue[i].first_start_ms / MAX(r->queue[i].jobs, 1)),
+			r->queue[i].preempted, r->queue[i].runs, r->queue[i].tasks);
+	g_print("  in time, each 2 s:");
+	for (uint32_t i = 0; i * LOAD_WINDOW_MS < conf->seconds * 1000; i++)
+		g_print(" %u", share_milli(&r->window[i]));
+	g_print("\n");
+}
+
+Test(load, steady)
+{
+	struct load_conf conf = seeded(cell);
+	struct load_result r;
+
+	load_run(&conf, &r);
+	print(&conf, &r);
+	cr_assert_geq(r.worth_milli, 900);
+}
+
+Test(load, recovers)
+{
+	struct load_conf conf = seeded(cell);
+	struct load_result r;
+
+	conf.seconds = 40;
+	conf.burst_at_s = 6;
+	conf.burst_s = 4;
+	conf.burst_milli = 1800;
+	conf.takeover_at_s[0] = 9;
+	conf.takeover_at_s[1] = 12;
+	load_run(&conf, &r);
+	print(&conf, &r);
+	cr_assert_geq(r.worth_milli, 500);
+}
--- a/tests/cell/test_placement.c
+++ b/tests/cell/test_placement.c
@@ -191,3 +191,66 @@
 	cr_assert_eq(f->stop->len, 2, "as few as are needed, and only once");
 	fixture_destroy(f);
 }
+
+/* The spread of a step holds for a gang too, whose members are placed at once. */
+struct gang_spread_case {
+	uint32_t runners;
+	uint32_t members;
+	uint32_t spread_max;
+	uint32_t starts;
+};
+
+static const struct gang_spread_case gang_spread_cases[] = {
+	{ 2, 3, 1, 0 }, { 3, 3, 1, 3 }, { 2, 3, 2, 3 }, { 2, 5, 2, 0 }, { 1, 4, 0, 4 },
+};
+
+Test(placement, gangs_are_spread)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(gang_spread_cases); i++) {
+		const struct gang_spread_case *c = &gang_spread_cases[i];
+		struct fixture *f = fixture_default(c->runners, 1000);
+		Cell__Job *job = fixture_new_job(ID_A, "urgent", c->members, 10);
+
+		job->step[0]->gang = true;
+		job->step[0]->spread_max = c->spread_max;
+		fixture_submit(f, job);
+		fixture_advance(f, 1);
+		if (f->batch)
+			fixture_ack_batch(f);
+		cr_expect_eq(f->starts, c->starts, "case %zu: %u starts", i, f->starts);
+		fixture_destroy(f);
+	}
+}
+
+/*
+ * A gang that waits for room on one of its runners keeps what there is on the others. A stream of
+ * small, less urgent tasks used to take it, so that the gang waited for all of them to pause.
+ */
+Test(placement, a_gang_keeps_room_on_approved_runners)
+{
+	struct fixture *f = fixture_create();
+	Cell__Job *job;
+
+	fixture_add_queue(f, "first", "desk", 0, 3, 0);
+	fixture_add_queue(f, "gang", "desk", 1, 3, 17);
+	fixture_add_queue(f, "small", "desk", 2, 3, 0);
+	fixture_start_scheduler(f);
+	fixture_add_runner(f, "r0", "desk", "rack0", 1000, 0);
+	fixture_add_runner(f, "r1", "desk", "rack0", 1000, 0);
+	fixture_poll_all(f);
+	fixture_submit_and_start(f, fixture_new_job("00000000000000f1", "first", 1, 900));
+	cr_assert_eq(f->starts, 1);
+	job = fixture_new_job(ID_A, "gang", 2, 600);
+	job->step[0]->gang = true;
+	fixture_submit(f, job);
+	fixture_advance(f, 1);
+	cr_assert(fixture_advise(f, "", 20000));
+	fixture_advance(f, 1);
+	cr_assert_eq(f->starts, 1, "there is room for one member only");
+	fixture_submit(f, fixture_new_job(ID_B, "small", 1, 500));
+	fixture_advance(f, 1);
+	if (f->batch)
+		fixture_ack_batch(f);
+	cr_expect_eq(f->starts, 1, "the small task has to wait");
+	fixture_destroy(f);
+}
