cell: skip steps that can't be advised now; waiting gangs claim half of a pool at most

Each pass collected and sorted their candidates before it found that no request may be sent, so passes took 100 ms again and a start 254 to 321 ms instead of 100. The advisor was busy with 50 to 70 late gangs that asked about further runners and renewed tickets again and again, more gangs than the pool could hold; less urgent steps got no request for 12 s. Change: a step without verdicts is skipped at once while no request may be sent for it. Gangs beyond those that need half of the pool, and beyond two, neither ask again nor reserve room; their first request is still sent. Tests: advice/waiting_gangs_claim_half_of_a_pool, placement/cost_of_a_pass.

--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -140,6 +140,15 @@
 		     REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
 }
 
+bool advice_request_is_blocked(const struct scheduler *s, const struct pending_step *ps)
+{
+	const struct advice *a = ps->step->advice;
+
+	if (a && (a->answered || a->in_flight))
+		return false;
+	return !may_send(s, request_cost_us(ps, 1));
+}
+
 void advice_request_send(struct pass *pass, const struct pending_step *ps, bool possible)
 {
 	g_autoptr(GPtrArray) runners = g_ptr_array_new();
@@ -170,6 +179,10 @@
 		s->stats.steps_advice_deferred++;
 		return;
 	}
+	if (!may_send(s, request_cost_us(ps, 1))) {
+		s->stats.steps_advice_deferred++;
+		return;
+	}
 	/* The first request is for all candidates, later ones only for those with room. */
 	add_candidates(ps, runners, VERDICT_APPROVED, true, request_runners_max(ps));
 	add_candidates(ps, runners, VERDICT_UNKNOWN, !first && !more, request_runners_max(ps));
--- a/packages/cell/process/advice_request.h
+++ b/packages/cell/process/advice_request.h
@@ -9,6 +9,11 @@
  * All nodes send requests on behalf of the scheduler. The advisor serves those of one node in turn.
  */
 
+/*
+ * advice_request_is_blocked - true if the step has no verdicts yet and the advisor is too busy to
+ * be asked: nothing can be done for it now.
+ */
+bool advice_request_is_blocked(const struct scheduler *s, const struct pending_step *ps);
 /* advice_request_send - requests tickets; possible: with them a waiting task could start. */
 void advice_request_send(struct pass *pass, const struct pending_step *ps, bool possible);
 /*
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -8,6 +8,8 @@
 
 #define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
 #define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
+#define GANGS_WAITING_MILLI 500 /* share of a pool that waiting gangs may claim, in 1/1000 */
+#define GANGS_WAITING_MIN   2	/* that may wait, whatever they need */
 #define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
@@ -65,6 +67,7 @@
 			g_hash_table_insert(pass->pool, rn->service, pool);
 		}
 		g_ptr_array_add(pool->runners, rn);
+		resources_add(&pool->capacity, &rn->capacity);
 	}
 }
 
@@ -242,10 +245,38 @@
 	}
 }
 
+static bool exceeds_share(int64_t need, int64_t capacity)
+{
+	return need * 1000 > capacity * GANGS_WAITING_MILLI;
+}
+
+/*
+ * Whether the gangs that wait before this one need more of the pool than will soon be free. A gang
+ * beyond that would only renew tickets that expire unused.
+ */
+static bool is_crowded_out(const struct pending_step *ps)
+{
+	const struct resources *gangs = &ps->pool->gangs;
+
+	if (ps->pool->waiting_gangs < GANGS_WAITING_MIN)
+		return false;
+	return exceeds_share(gangs->cpu_milli, ps->pool->capacity.cpu_milli) ||
+	       exceeds_share(gangs->mem_bytes, ps->pool->capacity.mem_bytes) ||
+	       exceeds_share(gangs->accel, ps->pool->capacity.accel);
+}
+
+static void add_waiting_gang(const struct pending_step *ps)
+{
+	ps->pool->waiting_gangs++;
+	for (uint32_t i = 0; i < ps->step->spec->count; i++)
+		resources_add(&ps->pool->gangs, &ps->need);
+}
+
 static void place_gang(struct pass *pass, const struct pending_step *ps)
 {
 	const Cell__Step *spec = ps->step->spec;
 	g_autofree struct cell_runner **members = NULL;
+	bool crowded;
 	bool possible;
 	bool reserved;
 
@@ -259,9 +290,15 @@
 	}
 	pass->s->stats.gangs_waiting++;
 	pass->s->stats.waiting_tasks += spec->count;
+	crowded = is_crowded_out(ps);
+	add_waiting_gang(ps);
+	if (crowded && ps->step->advice && ps->step->advice->answered)
+		return;
 	possible = find_gang_rack(pass, ps, false, members);
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
+	if (crowded)
+		return;
 	reserved = (!possible && reserve_by_preemption(pass, ps, spec->count)) ||
 		   (ps->advised && reserve_on_approved(ps, spec->count)) ||
 		   reserve_on_freest(ps, spec->count);
@@ -293,9 +330,14 @@
 	ps.pool = g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
 	if (!ps.pool || ps.pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX)
 		return;
+	ps.advised = q ? q->advised : j->spec->advised;
+	if (ps.advised && advice_request_is_blocked(pass->s, &ps)) {
+		pass->s->stats.waiting_tasks += step->spec->count;
+		pass->s->stats.steps_advice_deferred++;
+		return;
+	}
 	ps.need = scheduler_step_resources(step->spec);
 	ps.candidates = candidates = g_ptr_array_new();
-	ps.advised = q ? q->advised : j->spec->advised;
 	ps.headroom_milli = headroom_milli(j, pass->s->queues, pass->s->wall_ms);
 	pass->s->stats.examined += ps.pool->runners->len;
 	for (guint i = 0; i < ps.pool->runners->len; i++)
--- a/tests/cell/load.h
+++ b/tests/cell/load.h
@@ -65,13 +65,13 @@
 };
 
 struct load_count {
-	uint32_t jobs;	   /* that can be done */
-	uint32_t in_time;  /* done within the objective */
-	uint32_t late;	   /* done within three times the objective */
-	uint64_t total_ms; /* from submission to the end, of the jobs that were done */
+	uint32_t jobs;		 /* that can be done */
+	uint32_t in_time;	 /* done within the objective */
+	uint32_t late;		 /* done within three times the objective */
+	uint64_t total_ms;	 /* from submission to the end, of the jobs that were done */
 	uint64_t first_start_ms; /* from submission, of all jobs */
-	uint32_t preempted; /* runs */
-	uint32_t runs; /* of the jobs that were done */
+	uint32_t preempted;	 /* runs */
+	uint32_t runs;		 /* of the jobs that were done */
 	uint32_t tasks;
 };
 
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -330,3 +330,47 @@
 		fixture_destroy(f);
 	}
 }
+
+/*
+ * Each waiting gang asks about further runners and renews its tickets, which takes the advisor
+ * about a second each time. With a backlog of gangs, more than could start before the tickets
+ * expire, nothing was left for other steps, while runners stayed empty.
+ */
+struct gang_backlog_case {
+	const char *what;
+	uint32_t gangs;
+	uint32_t members; /* of 900; the pool has 120 runners of 1000 */
+	uint32_t asks_again;
+};
+
+static const struct gang_backlog_case gang_backlog_cases[] = {
+	{ "one larger than half of the pool", 1, 70, 1 },
+	{ "several of them", 6, 70, 2 },
+	{ "a few smaller ones", 3, 18, 3 },
+	{ "many smaller ones", 12, 18, 4 },
+};
+
+Test(advice, waiting_gangs_claim_half_of_a_pool)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(gang_backlog_cases); i++) {
+		const struct gang_backlog_case *c = &gang_backlog_cases[i];
+		struct fixture *f = advised_fixture(120);
+
+		scheduler_set_advisor_clients(f->sched, 60);
+		for (uint32_t k = 0; k < c->gangs; k++) {
+			g_autofree char *id = g_strdup_printf("00000000000000%02x", 0xd0 + k);
+			Cell__Job *gang = fixture_new_job(id, "slow", c->members, 900);
+
+			gang->step[0]->gang = true;
+			fixture_submit(f, gang);
+		}
+		fixture_advance(f, 1);
+		cr_assert_eq(f->advice->len, c->gangs, "%s: one request for each", c->what);
+		while (fixture_advise(f, "r1", 2000))
+			;
+		fixture_advance(f, 1);
+		cr_expect_eq(f->advice->len, c->asks_again, "%s: %u requests", c->what,
+			     f->advice->len);
+		fixture_destroy(f);
+	}
+}
--- a/tests/cell/test_placement.c
+++ b/tests/cell/test_placement.c
@@ -254,3 +254,59 @@
 	cr_expect_eq(f->starts, 1, "the small task has to wait");
 	fixture_destroy(f);
 }
+
+/*
+ * The cost of a pass, as the number of times that a runner is examined. It used to grow with the
+ * number of tasks that wait: passes took so long that jobs became late, which added to the backlog.
+ */
+struct pass_cost_case {
+	const char *what;
+	uint32_t jobs;
+	uint32_t tasks; /* of each */
+	bool gang;
+	bool advised;	       /* by an advisor that does not answer */
+	uint32_t per_step_max; /* times that each runner is examined, for each step that waits */
+};
+
+static const struct pass_cost_case pass_cost_cases[] = {
+	{ "wide steps", 20, 100, false, false, 4 },
+	{ "gangs with room for all members but one", 20, 41, true, false, 4 },
+	{ "steps without advice", 200, 10, false, true, 1 },
+};
+
+Test(placement, cost_of_a_pass)
+{
+	enum { RUNNERS = 40 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(pass_cost_cases); i++) {
+		const struct pass_cost_case *c = &pass_cost_cases[i];
+		struct fixture *f = fixture_create();
+		struct scheduler_stats before;
+		struct scheduler_stats after;
+		uint64_t limit = (uint64_t)c->per_step_max * c->jobs * RUNNERS;
+
+		fixture_add_queue(f, "work", "desk", 0, 3, c->advised ? 400 : 0);
+		fixture_start_scheduler(f);
+		for (uint32_t k = 0; k < RUNNERS; k++) {
+			g_autofree char *id = g_strdup_printf("r%u", k);
+
+			fixture_add_runner(f, id, "desk", "rack0", 1000, 0);
+		}
+		fixture_poll_all(f);
+		for (uint32_t k = 0; k < c->jobs; k++) {
+			g_autofree char *id = g_strdup_printf("%016x", 0xa000 + k);
+			Cell__Job *job = fixture_new_job(id, "work", c->tasks, 600);
+
+			job->step[0]->gang = c->gang;
+			fixture_submit(f, job);
+		}
+		fixture_advance(f, 1);
+		scheduler_stats(f->sched, &before);
+		fixture_advance(f, 1);
+		scheduler_stats(f->sched, &after);
+		cr_expect_leq(after.examined - before.examined, limit, "%s: %lu times, limit %lu",
+			      c->what, (unsigned long)(after.examined - before.examined),
+			      (unsigned long)limit);
+		fixture_destroy(f);
+	}
+}
