joblog: the store refuses schedulers that misread the records of progress

Cause: a scheduler of an earlier release would read the smaller records as those of jobs without runs and start their tasks again; during an update VM by VM it may win the lease after a newer one. Change: the producer's epoch is the term plus a constant that rises with the format, so an earlier release's fence is refused once this release has written, and it gives the lease up. Test: joblog/scheduler_of_an_earlier_release_is_refused (fails without the constant).

--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -6,6 +6,16 @@
 #define PRODUCER	 "scheduler"
 #define STORE_DOWN_CALLS 2 /* failed calls in a row, after which the store counts as down */
 #define TICK_MS		 20
+/*
+ * Added to the term. Raised with each format of the progress records that earlier releases misread,
+ * so that the store refuses their schedulers once a newer one has written.
+ */
+#define FORMAT_EPOCH (UINT64_C(1) << 32)
+
+static uint64_t epoch_of(uint64_t term)
+{
+	return FORMAT_EPOCH + term;
+}
 
 /* Progress that is not known to be stored yet. */
 struct batch {
@@ -128,7 +138,9 @@
 /* A repeated batch keeps its sequence number, so that the store deduplicates it. */
 static void send_batch(struct joblog *j, struct batch *b)
 {
-	struct append_cond cond = { .producer = PRODUCER, .epoch = j->term, .seq = b->seq };
+	struct append_cond cond = { .producer = PRODUCER,
+				    .epoch = epoch_of(j->term),
+				    .seq = b->seq };
 	struct batch_call *call = g_new(struct batch_call, 1);
 
 	*call = (struct batch_call){
@@ -252,7 +264,7 @@
 
 static void send_fence(struct joblog *j)
 {
-	struct append_cond cond = { .producer = PRODUCER, .epoch = j->term };
+	struct append_cond cond = { .producer = PRODUCER, .epoch = epoch_of(j->term) };
 	struct term_call *call = g_new(struct term_call, 1);
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
 
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -701,6 +701,36 @@
 	}
 }
 
+static void on_fence(void *ctx, enum store_result result, uint64_t offset)
+{
+	*(enum store_result *)ctx = result;
+}
+
+/*
+ * A scheduler of an earlier release would read the records of progress as those of jobs without
+ * runs, and start their tasks again. Such a release uses the bare term as the epoch.
+ */
+Test(joblog, scheduler_of_an_earlier_release_is_refused)
+{
+	struct fixture f = { 0 };
+	struct append_cond cond = { .producer = "scheduler", .epoch = 1000 };
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	enum store_result result = STORE_OK;
+	struct store store;
+
+	setup(&f, fake_log_create());
+	advance(&f, 100);
+	begin_term(&f, 5);
+	store = fake_store(f.client);
+	store.ops->append(store.impl, TOPIC, JOBLOG_PROGRESS, none, &cond, 900, on_fence, &result);
+	fake_serve(f.log);
+	cr_expect_eq(result, STORE_FENCED, "result %d", result);
+	joblog_write(f.joblog, 1, progress_batch(JOB_RUNNING, 1));
+	advance(&f, 40);
+	cr_expect_eq(f.written, 1, "this release goes on");
+	teardown(&f);
+}
+
 /*
  * A follower that is behind reads what its link carries within the timeout of a read. It used to
  * request everything at once, which timed out each time and took all of the link.
