cell: gangs that can never start claim no room and no advice

Cause: waiting gangs claim room and advice in the order of their ranks, up to half of a pool. Gangs that the runners left to them couldn't hold even if they were empty came first and kept all others from asking.

--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -93,18 +93,14 @@
 	s->ops->request_advice(s->ctx, step, names, runners->len, cost_us);
 }
 
-/* Tasks of the step that fit into half of the runner. */
+/* Tasks of the step that fit into half of the runner; one at least, as it may become empty. */
 static uint32_t places_in_half(const struct pending_step *ps, const struct cell_runner *rn)
 {
-	int64_t places = INT64_MAX;
-
-	if (ps->need.cpu_milli)
-		places = MIN(places, rn->capacity.cpu_milli / 2 / ps->need.cpu_milli);
-	if (ps->need.mem_bytes)
-		places = MIN(places, rn->capacity.mem_bytes / 2 / ps->need.mem_bytes);
-	if (ps->need.accel)
-		places = MIN(places, rn->capacity.accel / 2 / ps->need.accel);
-	return (uint32_t)CLAMP(places, 1, ps->step->spec->count);
+	const struct resources half = { .cpu_milli = rn->capacity.cpu_milli / 2,
+					.mem_bytes = rn->capacity.mem_bytes / 2,
+					.accel = rn->capacity.accel / 2 };
+
+	return MAX(pending_step_places(ps, &half), 1);
 }
 
 /* Whether the approved runners could hold the gang if they were half empty. */
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -63,6 +63,19 @@
 	return pending_step_spread_left(ps, rn) > 0;
 }
 
+uint32_t pending_step_places(const struct pending_step *ps, const struct resources *room)
+{
+	int64_t places = ps->step->spec->count;
+
+	if (ps->need.cpu_milli)
+		places = MIN(places, room->cpu_milli / ps->need.cpu_milli);
+	if (ps->need.mem_bytes)
+		places = MIN(places, room->mem_bytes / ps->need.mem_bytes);
+	if (ps->need.accel)
+		places = MIN(places, room->accel / ps->need.accel);
+	return (uint32_t)MAX(places, 0);
+}
+
 uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max)
 {
 	uint32_t n = 0;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -44,6 +44,8 @@
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_spread_left - tasks that the runner may still get by the step's spread. */
 uint32_t pending_step_spread_left(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_places - tasks of the step that fit into room, at most all of them. */
+uint32_t pending_step_places(const struct pending_step *ps, const struct resources *room);
 /*
  * pending_step_reserve - reserves room on the runner for tasks of the step, at most max. Returns
  * for how many.
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -265,6 +265,20 @@
 	       exceeds_share(gangs->accel, ps->pool->capacity.accel);
 }
 
+/* Whether the runners that are not denied could hold the gang if they were empty. */
+static bool can_ever_be_held(const struct pending_step *ps)
+{
+	uint32_t places = 0;
+
+	for (guint i = 0; i < ps->candidates->len && places < ps->step->spec->count; i++) {
+		const struct cell_runner *rn = ps->candidates->pdata[i];
+
+		places += MIN(pending_step_places(ps, &rn->capacity),
+			      ps->step->spec->spread_max ? ps->step->spec->spread_max : UINT32_MAX);
+	}
+	return places >= ps->step->spec->count;
+}
+
 static void add_waiting_gang(const struct pending_step *ps)
 {
 	ps->pool->waiting_gangs++;
@@ -290,6 +304,9 @@
 	}
 	pass->s->stats.gangs_waiting++;
 	pass->s->stats.waiting_tasks += spec->count;
+	/* It must not keep others waiting. */
+	if (!can_ever_be_held(ps))
+		return;
 	crowded = is_crowded_out(ps);
 	add_waiting_gang(ps);
 	if (crowded && ps->step->advice && ps->step->advice->answered)
