cell: decide once a request whether a gang needs more runners

Cause: advice_request_send() asked up to three times for each waiting gang and pass whether the approved runners could hold it; each time visits all candidates. Change: the answer and the resulting limit are computed once and passed on. Behaviour is the same.

--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -125,12 +125,15 @@
 	return (ps->step->spec->count + places - 1) / places * GANG_NAMED_PER_APPROVED;
 }
 
-/* As many runners as add half of the request's base cost, or as a gang needs. */
-static uint32_t request_runners_max(const struct pending_step *ps)
+/*
+ * As many runners as add half of the request's base cost; more: as many as a gang needs that can't
+ * be held by the approved ones.
+ */
+static uint32_t request_runners_max(const struct pending_step *ps, bool more)
 {
 	if (!ps->queue || !ps->queue->advice_per_runner_us)
 		return REQUEST_RUNNERS_MAX;
-	if (ps->step->spec->gang && !approval_suffices(ps))
+	if (more)
 		return CLAMP(gang_runners(ps), REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
 	return CLAMP(ps->queue->advice_base_us / ps->queue->advice_per_runner_us / 2,
 		     REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
@@ -150,6 +153,7 @@
 	g_autoptr(GPtrArray) runners = g_ptr_array_new();
 	struct scheduler *s = pass->s;
 	struct advice *a;
+	uint32_t max;
 	bool first;
 	bool more;
 
@@ -180,8 +184,9 @@
 		return;
 	}
 	/* The first request is for all candidates, later ones only for those with room. */
-	add_candidates(ps, runners, VERDICT_APPROVED, true, request_runners_max(ps));
-	add_candidates(ps, runners, VERDICT_UNKNOWN, !first && !more, request_runners_max(ps));
+	max = request_runners_max(ps, more);
+	add_candidates(ps, runners, VERDICT_APPROVED, true, max);
+	add_candidates(ps, runners, VERDICT_UNKNOWN, !first && !more, max);
 	if (runners->len == 0)
 		return;
 	if (!may_send(s, request_cost_us(ps, runners->len))) {
