cell: log why a run counts as lost, and runners that were replaced

Cause: a line "run lost" named neither the reason nor how long the runner had lived with the run, so the hypotheses on tasks that crash their runners couldn't be told apart. No change of behaviour.

--- a/packages/cell/process/cell_runner.c
+++ b/packages/cell/process/cell_runner.c
@@ -82,6 +82,13 @@
 	}
 }
 
+int64_t cell_runner_survived_ms(const struct cell_runner *rn, const struct run *r)
+{
+	if (!r->confirmed_ms || rn->answered_ms <= r->confirmed_ms)
+		return -1;
+	return rn->answered_ms - r->confirmed_ms;
+}
+
 int64_t cell_runner_lease_bound_ms(int64_t ms)
 {
 	return ms * (1000 + RUNNER_CLOCK_DRIFT_MILLI + 1) / 1000 + RUNNER_LEASE_SLACK_MS;
--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -123,6 +123,11 @@
  * runner's clock, or 0 (nothing granted) while that clock is not known.
  */
 int64_t cell_runner_grant_lease(struct cell_runner *rn, int64_t lease_ms, int64_t now_ms);
+/*
+ * cell_runner_survived_ms - time from the start of the run to the last answer of its runner; -1 if
+ * none has come since then, or the start was not confirmed.
+ */
+int64_t cell_runner_survived_ms(const struct cell_runner *rn, const struct run *r);
 /* cell_runner_lease_bound_ms - longest time that ms on a runner's clock may take. */
 int64_t cell_runner_lease_bound_ms(int64_t ms);
 /* cell_runner_leases_lapsed - true if all leases granted there have certainly ended. */
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -264,7 +264,7 @@
 		struct run *r = rn->runs->pdata[i - 1];
 
 		if (proven_gone(s, r, sent_ms))
-			scheduler_lose_run(s, r);
+			scheduler_lose_run(s, r, LOSS_NOT_LISTED);
 	}
 }
 
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -85,7 +85,7 @@
 		struct run *r = rn->runs->pdata[rn->runs->len - 1];
 
 		if (r->state == RUN_PLANNED)
-			scheduler_lose_run(s, r);
+			scheduler_lose_run(s, r, LOSS_RESTARTED);
 		else
 			move_run(s, r, fresh);
 	}
@@ -164,6 +164,9 @@
 		return;
 	}
 	if (!reply || reply->other_incarnation || reply->incarnation_ms < rn->incarnation_ms) {
+		if (reply && reply->other_incarnation)
+			scheduler_report_runner(s, DECISION_RUNNER_REPLACED, rn,
+						now_ms - rn->answered_ms);
 		rn->misses++;
 		rn->next_poll_ms =
 			now_ms + MIN((int64_t)POLL_RETRY_MS * (rn->misses - 1), POLL_RETRY_MAX_MS);
@@ -275,7 +278,7 @@
 
 		if (r->state == RUN_PLANNED)
 			continue;
-		scheduler_lose_run(s, r);
+		scheduler_lose_run(s, r, LOSS_LEASE_ENDED);
 	}
 }
 
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -70,10 +70,19 @@
 		scheduler_stop_gang(s, j, step);
 }
 
-void scheduler_lose_run(struct scheduler *s, struct run *r)
+void scheduler_lose_run(struct scheduler *s, struct run *r, enum run_loss loss)
 {
+	const struct decision d = { .kind = DECISION_LOST,
+				    .job = r->job,
+				    .runner = r->runner->id,
+				    .task = r->task,
+				    .run = r->number,
+				    .age_ms = s->now_ms - r->planned_ms,
+				    .loss = loss,
+				    .survived_ms = cell_runner_survived_ms(r->runner, r) };
+
 	s->stats.runs_lost++;
-	scheduler_report_run(s, DECISION_LOST, r);
+	scheduler_report(s, &d);
 	drop_run(s, r);
 }
 
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -136,6 +136,15 @@
 	DECISION_RUNNER_RECOVERED,   /* it answers polls again */
 	DECISION_RUNNER_QUARANTINED, /* too many of its runs failed in a row */
 	DECISION_RUNNER_RESTARTED,
+	DECISION_RUNNER_REPLACED, /* another runner answers at its address */
+};
+
+/* Why a run counts as lost. */
+enum run_loss {
+	LOSS_LEASE_ENDED = 0, /* its runner was silent until the lease had ended */
+	LOSS_RESTARTED,	      /* its runner has restarted */
+	LOSS_REPLACED,	      /* another runner answers at the address of its runner */
+	LOSS_NOT_LISTED,      /* its runner answers and does not list it */
 };
 
 /* A decision about a job or a runner, for logs and metrics. */
@@ -148,6 +157,8 @@
 	int64_t age_ms;	  /* of the job, of the run, or since the runner's last answer; length of a
 			     quarantine */
 	enum run_end end; /* of DECISION_END_IGNORED */
+	enum run_loss loss;	    /* of DECISION_LOST */
+	int64_t survived_ms;	    /* of DECISION_LOST: see cell_runner_survived_ms() */
 	int64_t incarnation_ms;	    /* of DECISION_RUNNER_RESTARTED */
 	int64_t old_incarnation_ms; /* of DECISION_RUNNER_RESTARTED */
 };
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -92,7 +92,7 @@
 /* scheduler_drop_run - frees a run that certainly doesn't exist any more. */
 void scheduler_drop_run(struct scheduler *s, struct run *r);
 /* scheduler_lose_run - frees a run whose end is not known: the task has to run again. */
-void scheduler_lose_run(struct scheduler *s, struct run *r);
+void scheduler_lose_run(struct scheduler *s, struct run *r, enum run_loss loss);
 /* scheduler_end_job - ends the job in this state and stops its runs. */
 void scheduler_end_job(struct scheduler *s, struct cell_job *j, enum job_state state);
 /* scheduler_stop_run - stops the run, after the answer to its start if that is pending. */
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -38,20 +38,24 @@
 
 static void log_run(const struct decision *d)
 {
-	static const char *const names[] = {
-		[DECISION_REFUSED] = "start refused",
-		[DECISION_UNANSWERED] = "start not answered, stopped",
-		[DECISION_FAILED] = "run failed",
-		[DECISION_HUNG] = "run makes no progress, stopped",
-		[DECISION_LOST] = "run lost",
-		[DECISION_PREEMPTED] = "preempted for more urgent work"
-	};
+	static const char *const names[] = { [DECISION_REFUSED] = "start refused",
+					     [DECISION_UNANSWERED] = "start not answered, stopped",
+					     [DECISION_FAILED] = "run failed",
+					     [DECISION_HUNG] = "run makes no progress, stopped",
+					     [DECISION_PREEMPTED] =
+						     "preempted for more urgent work" };
 	static const char *const ends[] = { [END_DONE] = "done",
 					    [END_FAILED] = "failed",
 					    [END_STOPPED] = "stopped",
 					    [END_LAPSED] = "lapsed",
 					    [END_GANG_BROKEN] = "broken gang",
 					    [END_GANG_INCOMPLETE] = "incomplete gang" };
+	static const char *const losses[] = {
+		[LOSS_LEASE_ENDED] = "the runner is silent and the lease has ended",
+		[LOSS_RESTARTED] = "the runner has restarted",
+		[LOSS_REPLACED] = "another runner answers at its address",
+		[LOSS_NOT_LISTED] = "the runner doesn't list it",
+	};
 	char task[TASK_NAME_BYTES];
 
 	cell_job_task_name(d->job, d->task, task);
@@ -60,6 +64,14 @@
 			    "%s: ignored, as run %u is not the current one", ends[d->end], d->run);
 		return;
 	}
+	if (d->kind == DECISION_LOST) {
+		log_request(LOG_INFO, task, "run", d->runner,
+			    "run lost: %s; run %u, planned %" G_GINT64_FORMAT
+			    " ms ago, last answer of the runner after %" G_GINT64_FORMAT
+			    " ms of it",
+			    losses[d->loss], d->run, d->age_ms, d->survived_ms);
+		return;
+	}
 	log_request(LOG_INFO, task, "run", d->runner,
 		    "%s: run %u, planned %" G_GINT64_FORMAT " ms ago", names[d->kind], d->run,
 		    d->age_ms);
@@ -67,10 +79,12 @@
 
 static void log_runner(const struct decision *d)
 {
-	static const char *const names[] = { [DECISION_RUNNER_SILENT] = "silent for",
-					     [DECISION_RUNNER_RECOVERED] = "answers again after",
-					     [DECISION_RUNNER_QUARANTINED] =
-						     "its runs fail; no starts for" };
+	static const char *const names[] = {
+		[DECISION_RUNNER_SILENT] = "silent for",
+		[DECISION_RUNNER_RECOVERED] = "answers again after",
+		[DECISION_RUNNER_QUARANTINED] = "its runs fail; no starts for",
+		[DECISION_RUNNER_REPLACED] = "another runner answers at its address; last answer"
+	};
 
 	if (d->kind == DECISION_RUNNER_RESTARTED) {
 		log_info("runner", d->runner,
@@ -95,6 +109,7 @@
 					     [DECISION_RUNNER_RECOVERED] = "runner_back",
 					     [DECISION_RUNNER_QUARANTINED] = "runner_barred",
 					     [DECISION_RUNNER_RESTARTED] = "runner_born",
+					     [DECISION_RUNNER_REPLACED] = "runner_replaced",
 					     [DECISION_PREEMPTED] = "run_preempted",
 					     [DECISION_END_IGNORED] = "end_ignored" };
 
