tests: tasks that crash their runners, and capacity that changes, in the simulation

The simulation now has jobs whose first task crashes each runner that it starts on, runners that come back under another id or the same one, capacity that shrinks and grows, and a store that stores nothing for seconds. It checks that no task is started three times more after three runners have crashed under it, that no job without such a task is given up, and that a start fits a capacity that has shrunk more than 5.5 s before.

--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -14,6 +14,9 @@
 #define APPEND_MS	     12
 #define OBJECTIVE_MS	     30000 /* of jobs with checkpoints, so that they may be preempted */
 #define JOB_READ_MS	     300   /* between reads of the jobs */
+#define OUTAGE_MIN_MS	     1000
+#define OUTAGE_MORE_MS	     8000
+#define BEAT_MS		     1500  /* between reports of a runner about itself */
 #define FAULT_FREE_MS	     60000 /* phase without faults at the end, so that all jobs can end */
 
 struct event {
@@ -131,6 +134,10 @@
 {
 	struct append *a = data;
 
+	if (s->now_ms < s->stored_from_ms) {
+		sim_at(s, s->stored_from_ms, append_arrives, a);
+		return;
+	}
 	if (a->done || a->sender->term == s->epoch) {
 		for (guint i = 0; !a->done && i < a->records->len; i++)
 			g_ptr_array_add(s->log, a->records->pdata[i]);
@@ -200,7 +207,7 @@
 				    .service = "desk",
 				    .dc = "dc",
 				    .rack = "rack",
-				    .capacity = { RUNNER_CPU_MILLI, (int64_t)1024 * MIB, 0 },
+				    .capacity = { r->cpu_milli, (int64_t)1024 * MIB, 0 },
 				    .incarnation_ms = r->incarnation_ms };
 
 	scheduler_update_runner(to->sched, &info, s->now_ms);
@@ -262,7 +269,7 @@
 	sim_at(s, s->now_ms + sim_around(s, s->conf->replace_every_ms), replace, NULL);
 }
 
-static void list_restart(struct sim *s, void *data)
+void sim_list_restart(struct sim *s, void *data)
 {
 	if (!s->current->dead)
 		list_runner(s, s->current, data);
@@ -275,6 +282,36 @@
 				      s->now_ms);
 }
 
+void sim_unlist(struct sim *s, void *data)
+{
+	if (!s->current->dead)
+		scheduler_runner_gone(s->current->sched, data, s->now_ms);
+	g_free(data);
+}
+
+static void outage(struct sim *s, void *data)
+{
+	if (!sim_faulty(s))
+		return;
+	s->stored_from_ms = s->now_ms + OUTAGE_MIN_MS + sim_pick(s, OUTAGE_MORE_MS);
+	sim_at(s, s->stored_from_ms + sim_around(s, s->conf->outage_every_ms), outage, NULL);
+}
+
+static void resize(struct sim *s, void *data)
+{
+	struct sim_runner *r = s->runner->pdata[sim_pick(s, s->runner->len)];
+
+	if (!sim_faulty(s))
+		return;
+	sim_at(s, s->now_ms + sim_around(s, s->conf->resize_every_ms), resize, NULL);
+	if (s->now_ms - r->resized_ms < RESIZE_GRACE_MS)
+		return;
+	r->old_cpu_milli = r->cpu_milli;
+	r->cpu_milli = RESIZE_MIN_MILLI + sim_pick(s, RUNNER_CPU_MILLI - RESIZE_MIN_MILLI);
+	r->resized_ms = s->now_ms;
+	sim_at(s, s->now_ms + sim_pick(s, BEAT_MS), sim_list_restart, r);
+}
+
 static void silence(struct sim *s, void *data)
 {
 	struct sim_runner *r = s->runner->pdata[sim_pick(s, s->runner->len)];
@@ -286,22 +323,12 @@
 	if (sim_chance(s, s->conf->restart_milli)) {
 		if (sim_chance(s, s->conf->quick_milli))
 			r->silent_until_ms = s->now_ms + 50 + sim_pick(s, 450);
-		r->incarnation_ms = s->now_ms;
-		r->fence = 0;
-		r->next_end_seq = 1;
-		r->lease_ms = 0;
-		r->lapsed_ms = 0;
-		r->known_ms = 0;
-		r->replies = 0;
-		g_ptr_array_set_size(r->task, 0);
-		g_ptr_array_set_size(r->end, 0);
-		g_hash_table_remove_all(r->stopped);
-		sim_at(s, s->now_ms + sim_around(s, s->conf->list_delay_ms), list_restart, r);
+		sim_runner_restart(s, r, r->silent_until_ms - s->now_ms, false);
 	}
 	if (sim_chance(s, s->conf->removed_milli)) {
 		sim_at(s, s->now_ms + ENTRY_SILENCE_MS, remove_entry, r);
 		sim_at(s, MAX(r->silent_until_ms, s->now_ms + ENTRY_SILENCE_MS) + sim_pick(s, 4000),
-		       list_restart, r);
+		       sim_list_restart, r);
 	}
 	sim_at(s, s->now_ms + sim_around(s, s->conf->silent_every_ms), silence, NULL);
 }
@@ -406,6 +433,7 @@
 	m.payload = "";
 	job->attempts = s->conf->attempts ? 1 + sim_pick(s, s->conf->attempts) : 8;
 	job->is_poisoned = s->conf->poison_milli && sim_chance(s, s->conf->poison_milli);
+	job->crashes = s->conf->crash_milli && sim_chance(s, s->conf->crash_milli);
 	m.attempts_max = job->attempts;
 	m.accepted_ms = WALL_MS + s->now_ms;
 	m.priority = g_str_equal(m.queue, "urgent") ? 0 : 2;
@@ -474,7 +502,7 @@
 		const struct sim_runner *r = s->runner->pdata[i];
 
 		if (approves(s, name, r->id))
-			places += RUNNER_CPU_MILLI / step->spec->cpu_milli;
+			places += (uint32_t)(r->cpu_milli / step->spec->cpu_milli);
 	}
 	return places >= (step->spec->gang ? step->spec->count : 1);
 }
@@ -564,6 +592,10 @@
 		sim_at(&s, s.now_ms + conf->replace_every_ms, replace, NULL);
 	if (conf->silent_every_ms)
 		sim_at(&s, s.now_ms + conf->silent_every_ms, silence, NULL);
+	if (conf->resize_every_ms)
+		sim_at(&s, s.now_ms + conf->resize_every_ms, resize, NULL);
+	if (conf->outage_every_ms)
+		sim_at(&s, s.now_ms + conf->outage_every_ms, outage, NULL);
 	while (!g_sequence_is_empty(s.event)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(s.event);
 		struct event e = *(struct event *)g_sequence_get(first);
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -35,11 +35,16 @@
 	uint32_t replace_every_ms; /* replacement of the scheduler; 0 for never */
 	uint32_t silent_every_ms;  /* a runner stops answering for seconds; 0 for never */
 	uint32_t restart_milli;	   /* share of silent runners that restart */
-	uint32_t removed_milli;	 /* share of silent runners whose entries are removed for a while */
-	uint32_t quick_milli;	 /* share of restarts that take less than 0.5 s */
-	uint32_t list_delay_ms;	 /* time until the platform lists a restart, mean */
-	uint32_t advise_ms;	 /* time of a request to the advisor; 0 for no advisor */
-	uint32_t approved_milli; /* share of runners that a step is approved for */
+	uint32_t removed_milli; /* share of silent runners whose entries are removed for a while */
+	uint32_t quick_milli;	/* share of restarts that take less than 0.5 s */
+	uint32_t list_delay_ms; /* time until the platform lists a restart, mean */
+	uint32_t crash_milli; /* share of jobs with a task that crashes each runner it starts on */
+	uint32_t crash_after_ms;  /* how long such a run lives, at most */
+	uint32_t new_id_milli;	  /* share of crashes after which the runner has another id */
+	uint32_t resize_every_ms; /* a runner's capacity changes; 0 for never */
+	uint32_t outage_every_ms; /* the store stores nothing for seconds; 0 for never */
+	uint32_t advise_ms;	  /* time of a request to the advisor; 0 for no advisor */
+	uint32_t approved_milli;  /* share of runners that a step is approved for */
 };
 
 struct sim_result {
@@ -48,9 +53,12 @@
 	uint32_t reruns;	 /* starts of a task whose end as done was acknowledged */
 	uint32_t blind_starts;	 /* late, on restarted runners that no scheduler had reached yet */
 	uint32_t starts_over_attempts; /* starts after all attempts have failed */
+	uint32_t starts_over_crashes;  /* third and later ones after three runners have crashed */
 	uint32_t partial_gangs;	       /* gangs whose members did not all start in time */
 	uint32_t starts_after_cancel;  /* starts long after their job was cancelled */
-	uint32_t failed_early;	       /* jobs that failed before all attempts of a task */
+	uint32_t failed_early; /* jobs that failed before all attempts of a task, or two crashes */
+	uint32_t crashes;      /* of runners, by a task */
+	uint32_t runs_in_crashes; /* of other tasks, that were lost in crashes */
 	uint32_t done;
 	uint32_t failed;
 	uint32_t cancelled;
--- a/tests/cell/sim_priv.h
+++ b/tests/cell/sim_priv.h
@@ -10,6 +10,8 @@
  */
 
 #define RUNNER_CPU_MILLI 32000
+#define RESIZE_MIN_MILLI 12000 /* capacity of a runner that has shrunk, at least */
+#define RESIZE_GRACE_MS	 5500  /* in which a start may still exceed a capacity that has shrunk */
 #define LEASE_MS	 6000
 #define STOP_MS		 900
 #define LEASE_CAP_MS	 10000
@@ -23,6 +25,11 @@
 	int64_t lease_ms;  /* deadline, by its own clock */
 	int64_t lapsed_ms; /* when its lease lapsed last, by the clock of the simulation */
 	int64_t silent_until_ms;
+	int64_t cpu_milli;     /* its capacity */
+	int64_t old_cpu_milli; /* before the last change */
+	int64_t resized_ms;    /* when it changed last */
+	uint32_t number;
+	uint32_t generation; /* in its id, raised by a restart under another id */
 	int64_t known_ms;    /* when a scheduler first knew of its incarnation; 0 for not yet */
 	uint32_t replies;    /* to polls, that reached their sender in this incarnation */
 	GPtrArray *task;     /* struct sim_task */
@@ -43,7 +50,9 @@
 /* What the rules say of a task. */
 struct sim_history {
 	int64_t last_start_ms;
-	GArray *failed_ms; /* times of ends as failed that were acknowledged */
+	GArray *failed_ms;	       /* times of ends as failed that were acknowledged */
+	uint32_t crashes;	       /* of runners, by the task */
+	uint32_t starts_after_crashes; /* since the third crash */
 };
 
 struct sim_job {
@@ -52,7 +61,8 @@
 	int64_t cancel_ms;
 	bool is_cancelled;
 	bool is_poisoned;
-	bool has_failed_often; /* a task or gang has used up its attempts */
+	bool crashes;	       /* its first task crashes the runner that it starts on */
+	bool has_failed_often; /* a task has used up its attempts or has crashed two runners */
 	uint32_t attempts;
 };
 
@@ -75,6 +85,7 @@
 	GHashTable *job;
 	uint32_t jobs;
 	int64_t faults_until_ms;
+	int64_t stored_from_ms; /* the store stores nothing before that */
 };
 
 /* sim_at - schedules fn at that time, or now if it has passed. */
@@ -90,6 +101,15 @@
 /* sim_violation - counts a violation and keeps the text of the first. */
 void sim_violation(struct sim *s, uint32_t *counter, const char *what, const char *name);
 
+/*
+ * sim_runner_restart - the runner has crashed and answers again after down_ms; new_id: under
+ * another id.
+ */
+void sim_runner_restart(struct sim *s, struct sim_runner *r, int64_t down_ms, bool new_id);
+/* sim_list_restart - the platform lists the runner of data. */
+void sim_list_restart(struct sim *s, void *data);
+/* sim_unlist - the platform no longer lists the runner whose id is data, which is freed. */
+void sim_unlist(struct sim *s, void *data);
 struct sim_runner *sim_runner_create(uint32_t number, int64_t incarnation_ms);
 void sim_runner_free(gpointer data);
 void sim_history_free(gpointer data);
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "sim_priv.h"
@@ -7,11 +8,18 @@
 #define LIST_MAX      500 /* ends in one reply */
 #define WAIT_EXTRA_MS 800
 /* The first reply tells the scheduler of a restart; the second poll carries a higher fence. */
-#define KNOWN_REPLIES 2
-#define HANG_MS	      20000
-#define LATE_MIN_MS   2000
-#define LATE_MORE_MS  10000
-#define SLOW_MILLI    20 /* by which a runner's clock is slow, in 1/1000 */
+#define KNOWN_REPLIES	2
+#define HANG_MS		20000
+#define LATE_MIN_MS	2000
+#define LATE_MORE_MS	10000
+#define CRASHED_MS	3000 /* from a crash until the runner answers again */
+#define CRASHED_MORE_MS 600
+#define SLOW_MILLI	20 /* by which a runner's clock is slow, in 1/1000 */
+
+#define UNLISTED_MS	     4500 /* until the entry of a crashed runner is removed, at most */
+#define CRASHES_TO_GIVE_UP   2	  /* a task that has crashed so many runners may be given up */
+#define CRASHES_COUNTED	     3	  /* from then on starts are counted */
+#define STARTS_AFTER_CRASHES 2	  /* starts that may follow */
 
 /* A run on its runner. */
 struct sim_task {
@@ -35,6 +43,7 @@
 	bool hangs;
 	bool stopping;
 	bool ends_itself; /* before it is stopped */
+	int64_t crash_ms; /* when it crashes its runner; INT64_MAX for never */
 };
 
 struct sim_end {
@@ -119,6 +128,18 @@
 	return g_hash_table_lookup(s->job, id);
 }
 
+static struct sim_history *history_of(struct sim *s, const char *task)
+{
+	struct sim_history *h = g_hash_table_lookup(s->history, task);
+
+	if (!h) {
+		h = g_new0(struct sim_history, 1);
+		h->failed_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		g_hash_table_insert(s->history, g_strdup(task), h);
+	}
+	return h;
+}
+
 /* The failures of all members of a gang count together. */
 static void note_failure(struct sim *s, const struct sim_task *t)
 {
@@ -186,8 +207,63 @@
 	}
 }
 
+void sim_runner_restart(struct sim *s, struct sim_runner *r, int64_t down_ms, bool new_id)
+{
+	r->silent_until_ms = s->now_ms + down_ms;
+	r->incarnation_ms = s->now_ms;
+	r->fence = 0;
+	r->next_end_seq = 1;
+	r->lease_ms = 0;
+	r->lapsed_ms = 0;
+	r->known_ms = 0;
+	r->replies = 0;
+	g_ptr_array_set_size(r->task, 0);
+	g_ptr_array_set_size(r->end, 0);
+	g_hash_table_remove_all(r->stopped);
+	if (s->conf->resize_every_ms) {
+		r->cpu_milli = RESIZE_MIN_MILLI + sim_pick(s, RUNNER_CPU_MILLI - RESIZE_MIN_MILLI);
+		r->old_cpu_milli = r->cpu_milli;
+	}
+	if (new_id) {
+		sim_at(s, s->now_ms + down_ms + sim_pick(s, UNLISTED_MS), sim_unlist,
+		       g_strdup(r->id));
+		snprintf(r->id, sizeof(r->id), "r%u-%u", r->number, ++r->generation);
+		sim_at(s, s->now_ms + down_ms, sim_list_restart, r);
+		return;
+	}
+	sim_at(s, s->now_ms + sim_around(s, s->conf->list_delay_ms), sim_list_restart, r);
+}
+
+/* All runs of the runner are lost, with no trace of which one was at fault. */
+static void crash(struct sim *s, struct sim_runner *r, const struct sim_task *by)
+{
+	struct sim_history *h = history_of(s, by->name);
+
+	if (++h->crashes >= CRASHES_TO_GIVE_UP)
+		job_of_task(s, by->name)->has_failed_often = true;
+	s->result->crashes++;
+	s->result->runs_in_crashes += r->task->len - 1;
+	sim_runner_restart(s, r, CRASHED_MS + sim_pick(s, CRASHED_MORE_MS),
+			   sim_chance(s, s->conf->new_id_milli));
+}
+
+static bool crash_if_due(struct sim *s, struct sim_runner *r)
+{
+	for (guint i = 0; i < r->task->len; i++) {
+		const struct sim_task *t = r->task->pdata[i];
+
+		if (t->crash_ms > s->now_ms)
+			continue;
+		crash(s, r, t);
+		return true;
+	}
+	return false;
+}
+
 static void advance_runner(struct sim *s, struct sim_runner *r)
 {
+	if (crash_if_due(s, r))
+		return;
 	if (clock_of(s, r) > r->lease_ms) {
 		r->lapsed_ms = s->now_ms;
 		while (r->task->len)
@@ -230,6 +306,14 @@
 	return NULL;
 }
 
+/* Whether the runner has crashed and answers again under another id, at the same address. */
+static bool another_answers(const struct sim *s, const char *id)
+{
+	const struct sim_runner *r = s->runner->pdata[strtoul(id + 1, NULL, 10)];
+
+	return !g_str_equal(r->id, id) && s->now_ms >= r->silent_until_ms;
+}
+
 /* The job of a task, and its step, in the scheduler's table. */
 static struct cell_job *job_of(struct sim_sched *ss, const char *task, struct job_step **step)
 {
@@ -243,18 +327,6 @@
 	return j;
 }
 
-static struct sim_history *history_of(struct sim *s, const char *task)
-{
-	struct sim_history *h = g_hash_table_lookup(s->history, task);
-
-	if (!h) {
-		h = g_new0(struct sim_history, 1);
-		h->failed_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
-		g_hash_table_insert(s->history, g_strdup(task), h);
-	}
-	return h;
-}
-
 void sim_history_free(gpointer data)
 {
 	g_array_unref(((struct sim_history *)data)->failed_ms);
@@ -303,6 +375,22 @@
 	return !t->blind || (t->told_term == o->sender->term && t->told_ms < o->sent_ms);
 }
 
+/* A capacity that has shrunk counts some seconds later. */
+static int64_t capacity_to_keep(const struct sim *s, const struct sim_runner *r)
+{
+	return s->now_ms - r->resized_ms < RESIZE_GRACE_MS ? MAX(r->cpu_milli, r->old_cpu_milli)
+							   : r->cpu_milli;
+}
+
+/* A task that crashes its runners may be started twice more after three crashes. */
+static void check_crashes(struct sim *s, const char *task)
+{
+	struct sim_history *h = history_of(s, task);
+
+	if (h->crashes >= CRASHES_COUNTED && ++h->starts_after_crashes > STARTS_AFTER_CRASHES)
+		sim_violation(s, &s->result->starts_over_crashes, "start after crashes", task);
+}
+
 static void check_start(struct sim *s, struct sim_runner *r, const struct order_call *o)
 {
 	const struct sim_job *job = job_of_task(s, o->task);
@@ -313,7 +401,7 @@
 
 		used += known_to(t, o) ? t->cpu_milli : 0;
 	}
-	if (used > RUNNER_CPU_MILLI)
+	if (used > capacity_to_keep(s, r))
 		sim_violation(s, &s->result->over_capacity, "over capacity", o->task);
 	for (guint k = 0; k < s->runner->len; k++) {
 		struct sim_runner *other = s->runner->pdata[k];
@@ -330,6 +418,7 @@
 		sim_violation(s, &s->result->reruns, "start after its end", o->task);
 	history_of(s, o->task)->last_start_ms = s->now_ms;
 	check_attempts(s, o->task);
+	check_crashes(s, o->task);
 	if (job->is_cancelled && s->now_ms - job->cancel_ms > 13000 + LEASE_MS)
 		sim_violation(s, &s->result->starts_after_cancel, "start of a cancelled job",
 			      o->task);
@@ -407,6 +496,9 @@
 	t->work_ms = sim_around(s, s->conf->task_ms);
 	t->end_ms = o->gang ? INT64_MAX : s->now_ms + t->work_ms;
 	t->fails = sim_chance(s, s->conf->fail_milli) || job_of_task(s, t->name)->is_poisoned;
+	t->crash_ms = INT64_MAX;
+	if (job_of_task(s, t->name)->crashes && g_str_has_suffix(t->name, ".0.0.0"))
+		t->crash_ms = s->now_ms + 1 + sim_pick(s, s->conf->crash_after_ms);
 	t->hangs = s->conf->hang_milli && !o->gang && sim_chance(s, s->conf->hang_milli);
 	if (t->hangs)
 		t->end_ms = s->now_ms + HANG_MS;
@@ -426,10 +518,15 @@
 static void start_arrives(struct sim *s, void *data)
 {
 	struct order_call *o = data;
-	struct sim_runner *r = find_runner(s, o->runner);
+	struct sim_runner *r;
 
 	sim_advance(s);
-	if (s->now_ms >= r->silent_until_ms) {
+	r = find_runner(s, o->runner);
+	if (!r && another_answers(s, o->runner)) {
+		o->result = START_REFUSED;
+		o->refs++;
+		sim_at(s, s->now_ms + 1 + sim_pick(s, 25), start_answered, o);
+	} else if (r && s->now_ms >= r->silent_until_ms) {
 		o->result = execute_start(s, r, o);
 		if (!o->no_answer) {
 			o->refs++;
@@ -492,10 +589,11 @@
 static void stop_arrives(struct sim *s, void *data)
 {
 	struct order_call *o = data;
-	struct sim_runner *r = find_runner(s, o->runner);
+	struct sim_runner *r;
 
 	sim_advance(s);
-	if (s->now_ms >= r->silent_until_ms && o->fence >= r->fence) {
+	r = find_runner(s, o->runner);
+	if (r && s->now_ms >= r->silent_until_ms && o->fence >= r->fence) {
 		uint32_t last = GPOINTER_TO_UINT(g_hash_table_lookup(r->stopped, o->task));
 
 		r->fence = o->fence;
@@ -550,7 +648,8 @@
 {
 	struct sim_runner *r = find_runner(s, c->runner);
 
-	if (c->reply.fenced || c->reply.incarnation_ms != r->incarnation_ms)
+	if (!r || c->reply.fenced || c->reply.other_incarnation ||
+	    c->reply.incarnation_ms != r->incarnation_ms)
 		return;
 	r->known_ms = r->known_ms ? r->known_ms : s->now_ms;
 	r->replies++;
@@ -633,10 +732,16 @@
 static void poll_waits(struct sim *s, void *data)
 {
 	struct poll_call *c = data;
-	struct sim_runner *r = find_runner(s, c->runner);
+	struct sim_runner *r;
 
 	sim_advance(s);
-	if (s->now_ms < r->silent_until_ms) {
+	r = find_runner(s, c->runner);
+	if (!r && another_answers(s, c->runner)) {
+		c->reply.other_incarnation = true;
+		sim_at(s, s->now_ms + 1 + sim_pick(s, 25), poll_answered, c);
+		return;
+	}
+	if (!r || s->now_ms < r->silent_until_ms) {
 		c->silent = true;
 		sim_at(s, MAX(c->until_ms, s->now_ms) + WAIT_EXTRA_MS, poll_answered, c);
 		return;
@@ -654,10 +759,11 @@
 static void late_poll_arrives(struct sim *s, void *data)
 {
 	struct poll_call *c = data;
-	struct sim_runner *r = find_runner(s, c->runner);
+	struct sim_runner *r;
 
 	sim_advance(s);
-	if (s->now_ms >= r->silent_until_ms && c->fence >= r->fence) {
+	r = find_runner(s, c->runner);
+	if (r && s->now_ms >= r->silent_until_ms && c->fence >= r->fence) {
 		r->fence = c->fence;
 		extend_lease(s, r, c->deadline_ms);
 		ack_ends(s, r, c->acked_end);
@@ -676,10 +782,11 @@
 static void poll_arrives(struct sim *s, void *data)
 {
 	struct poll_call *c = data;
-	struct sim_runner *r = find_runner(s, c->runner);
+	struct sim_runner *r;
 
 	sim_advance(s);
-	if (s->now_ms < r->silent_until_ms) {
+	r = find_runner(s, c->runner);
+	if (!r || s->now_ms < r->silent_until_ms) {
 		poll_waits(s, c);
 		return;
 	}
@@ -727,6 +834,9 @@
 	struct sim_runner *r = g_new0(struct sim_runner, 1);
 
 	snprintf(r->id, sizeof(r->id), "r%u", number);
+	r->number = number;
+	r->cpu_milli = RUNNER_CPU_MILLI;
+	r->old_cpu_milli = RUNNER_CPU_MILLI;
 	r->incarnation_ms = incarnation_ms;
 	r->next_end_seq = 1;
 	r->task = g_ptr_array_new_with_free_func(task_free);
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -111,6 +111,28 @@
 	return c;
 }
 
+/* Jobs with a task that crashes its runner right after its start, or somewhat later. */
+static struct sim_conf crashes(struct sim_conf c, uint32_t after_ms, uint32_t new_id)
+{
+	c.crash_milli = 100;
+	c.crash_after_ms = after_ms;
+	c.new_id_milli = new_id;
+	c.list_delay_ms = 1500;
+	c.runners = 12;
+	c.jobs = 100;
+	return c;
+}
+
+/* Runners whose capacity changes, in a store that stores nothing for seconds now and then. */
+static struct sim_conf resizes(struct sim_conf c, uint32_t outage)
+{
+	c.resize_every_ms = 500;
+	c.outage_every_ms = outage;
+	c.task_cpu_milli = 8000;
+	c.list_delay_ms = 1500;
+	return c;
+}
+
 static void check(const char *what, const struct sim_conf *conf)
 {
 	struct sim_result r;
@@ -124,6 +146,8 @@
 		     r.first_violation);
 	cr_expect_eq(r.starts_over_attempts, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
+	cr_expect_eq(r.starts_over_crashes, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
+		     r.first_violation);
 	cr_expect_eq(r.starts_after_cancel, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
 		     r.first_violation);
 	cr_expect_eq(r.failed_early, 0, "%s, seed %lu: %s", what, (unsigned long)conf->seed,
@@ -183,6 +207,28 @@
 		{ "entries are removed, restarts", removals(60, 0, 500), 8 },
 		{ "entries are removed, restarts, replaced schedulers", removals(60, 3000, 500),
 		  8 },
+		{ "crashing tasks", crashes(faults(0, 0, 0, 0, 0, 0, 0, 0, 0), 10, 1000), 4 },
+		{ "crashing tasks, runners keep their ids",
+		  crashes(faults(20, 0, 0, 0, 0, 0, 0, 50, 0), 10, 0), 6 },
+		{ "crashing tasks, gangs and advice",
+		  crashes(faults(20, 20, 0, 0, 0, 0, 300, 50, 60), 10, 700), 6 },
+		{ "tasks that crash later",
+		  crashes(faults(20, 20, 0, 0, 0, 0, 200, 50, 0), 2000, 700), 6 },
+		{ "crashing tasks, lost and late orders",
+		  crashes(faults(20, 50, 30, 0, 0, 0, 200, 50, 0), 10, 700), 8 },
+		{ "crashing tasks, silent and restarted runners",
+		  crashes(faults(20, 20, 0, 0, 1500, 500, 200, 50, 0), 10, 700), 8 },
+		{ "crashing tasks, replaced schedulers",
+		  crashes(faults(20, 20, 0, 3000, 0, 0, 200, 50, 0), 10, 700), 8 },
+		{ "crashing tasks, all together",
+		  crashes(faults(20, 50, 30, 3000, 2500, 300, 200, 100, 60), 10, 700), 12 },
+		{ "capacity changes", resizes(faults(0, 0, 0, 0, 0, 0, 200, 50, 0), 0), 6 },
+		{ "capacity changes, outages of the store",
+		  resizes(faults(20, 0, 0, 0, 0, 0, 200, 50, 0), 3000), 8 },
+		{ "capacity changes, restarts",
+		  resizes(faults(20, 20, 20, 0, 1500, 600, 200, 50, 0), 0), 8 },
+		{ "capacity changes, all together",
+		  resizes(faults(20, 50, 30, 3000, 2500, 300, 200, 100, 0), 6000), 8 },
 	};
 	uint32_t first = env_number("KW_SIM_FIRST", 1);
 	uint32_t more = env_number("KW_SIM_SEEDS", 0);
