cell: count the ends of runners against their tasks, isolate suspects, give up at last

Cause: a run that was lost with its runner only made its task wait again. No count of such ends was kept, and the task was placed among others again, by tightest fit, so that each further crash lost all other runs of a busy runner. Change: ends of runners are counted per task, those right after a start apart, in the record of progress; a run that lives for 5 s clears its task. After one early end the next run is placed on the runner with the fewest runs, after two it runs alone; a task is given up, and its job fails, after four early ends in a row on different hosts, the last of them alone, or five ends of any kind, as the platform allows two starts after the third crash. Runners that drain, answer, or show later that they lived on don't count. Why it works: a task that is alone on its runner when it ends takes no other with it, and a harmless one is cleared by its first run there.

--- a/packages/cell/process/cell_runner.c
+++ b/packages/cell/process/cell_runner.c
@@ -60,6 +60,7 @@
 void cell_runner_update(struct cell_runner *rn, const struct runner_info *info)
 {
 	set_text(&rn->address, info->address);
+	rn->host = rn->address ? MAX(g_str_hash(rn->address), 1) : 0;
 	set_text(&rn->service, info->service);
 	set_text(&rn->dc, info->dc);
 	set_text(&rn->rack, info->rack);
@@ -74,6 +75,7 @@
 {
 	rn->contacted = true;
 	rn->answered_ms = now_ms;
+	rn->alive_ms = now_ms;
 	rn->misses = 0;
 	/* Answers may arrive out of order; keep the latest reading of the clock. */
 	if (clock_ms >= rn->clock_ms) {
@@ -84,9 +86,9 @@
 
 int64_t cell_runner_survived_ms(const struct cell_runner *rn, const struct run *r)
 {
-	if (!r->confirmed_ms || rn->answered_ms <= r->confirmed_ms)
+	if (!r->confirmed_ms || rn->alive_ms <= r->confirmed_ms)
 		return -1;
-	return rn->answered_ms - r->confirmed_ms;
+	return rn->alive_ms - r->confirmed_ms;
 }
 
 int64_t cell_runner_lease_bound_ms(int64_t ms)
@@ -131,12 +133,20 @@
 {
 	r->runner = rn;
 	resources_add(&rn->used, &r->need);
+	rn->alone += r->alone;
 	g_ptr_array_add(rn->runs, r);
 }
 
+void cell_runner_share(struct cell_runner *rn, struct run *r)
+{
+	rn->alone -= r->alone;
+	r->alone = false;
+}
+
 void cell_runner_free_run(struct cell_runner *rn, struct run *r)
 {
 	resources_sub(&rn->used, &r->need);
+	rn->alone -= r->alone;
 	g_ptr_array_remove_fast(rn->runs, r);
 }
 
@@ -145,6 +155,7 @@
 	guint i;
 
 	resources_sub(&rn->used, &r->need);
+	rn->alone -= r->alone;
 	if (g_ptr_array_find(rn->runs, r, &i))
 		g_ptr_array_steal_index_fast(rn->runs, i);
 }
--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -63,15 +63,19 @@
 	int64_t stop_sent_ms;	  /* last stop order, 0 for none */
 	int64_t stop_answered_ms; /* from then on the runner won't start it; 0 for none */
 	uint32_t start_orders;	  /* sent so far */
-	bool inherited; /* started by an earlier scheduler, not yet listed by the runner */
-	bool stopping;	/* a stop was requested, maybe not sent yet */
-	bool gang_done; /* its gang has ended as done, and its own end will be listed */
-	bool listed;	/* in the poll reply being read */
+	bool inherited;	    /* started by an earlier scheduler, not yet listed by the runner */
+	bool stopping;	    /* a stop was requested, maybe not sent yet */
+	bool started_alone; /* on a runner without other runs */
+	bool alone;	    /* no other run may start on its runner */
+	bool gang_done;	    /* its gang has ended as done, and its own end will be listed */
+	bool listed;	    /* in the poll reply being read */
 };
 
 struct cell_runner {
 	char *id;
 	char *address;
+	uint32_t host; /* hash of the address, which stays when a runner is restarted; 0 if unknown
+			*/
 	char *service;
 	char *dc;
 	char *rack;
@@ -80,6 +84,8 @@
 	int64_t incarnation_ms;
 	struct resources capacity;
 	struct resources used;	   /* by the runs */
+	uint32_t alone;		   /* runs that keep others off */
+	bool kept_empty;	   /* for one, in the current placement pass */
 	struct resources reserved; /* for steps of higher rank, in the current placement pass */
 	bool draining;
 	bool gone;		  /* no longer listed by the platform */
@@ -94,6 +100,7 @@
 	int64_t clock_local_ms;	  /* our clock when clock_ms was received */
 	int64_t granted_until_ms; /* end of the last lease, by our clock */
 	int64_t answered_ms;	  /* last reply to a poll */
+	int64_t alive_ms;	  /* last answer to an order */
 	bool has_unread_runs;	  /* its last reply lists runs of jobs that were not read yet */
 	uint32_t misses;	  /* polls without a reply and starts without effect since then */
 	uint64_t acked_end;	  /* ends up to this seq are stored: the runner may forget them */
@@ -110,7 +117,7 @@
 void cell_runner_destroy(struct cell_runner *rn);
 /* cell_runner_update - updates what may change within one incarnation. */
 void cell_runner_update(struct cell_runner *rn, const struct runner_info *info);
-/* cell_runner_answered - notes an answer, sent at clock_ms by the runner's clock. */
+/* cell_runner_answered - notes the reply to a poll, sent at clock_ms by the runner's clock. */
 void cell_runner_answered(struct cell_runner *rn, int64_t clock_ms, int64_t now_ms);
 /*
  * cell_runner_first_contact - notes that this incarnation has seen its fence. No order of an
@@ -137,6 +144,8 @@
 void cell_runner_add_run(struct cell_runner *rn, struct run *r);
 /* cell_runner_free_run - removes the run and frees it. */
 void cell_runner_free_run(struct cell_runner *rn, struct run *r);
+/* cell_runner_share - other runs may join one that was started alone. */
+void cell_runner_share(struct cell_runner *rn, struct run *r);
 /* cell_runner_detach_run - removes the run, which the caller then owns. */
 void cell_runner_detach_run(struct cell_runner *rn, struct run *r);
 
--- /dev/null
+++ b/packages/cell/process/crash.c
@@ -0,0 +1,90 @@
+#include "crash.h"
+
+#define CRASH_EARLY_MS	  300 /* after the start; replies through other nodes may be that late */
+#define CRASH_EARLY_MAX	  4   /* early ends in a row, after which a task is given up */
+#define CRASH_MAX	  5   /* ends in a row; the platform allows two starts after the third */
+#define ALONE_EARLY	  2   /* early ends in a row, after which a task runs alone */
+#define ALONE_ANY	  3
+#define PREFERRED_ANY	  2
+#define ALONE_RELEASED_MS 1000 /* a task suspected of early ends runs alone for so long */
+
+/* Whether the run was lost because its runner has ended, or may have. */
+static bool runner_ended(const struct cell_runner *rn, enum run_loss loss)
+{
+	switch (loss) {
+	case LOSS_LEASE_ENDED:
+		/* A runner that answers has lost its lease since none was granted. */
+		return !rn->contacted || rn->misses > 0 || rn->gone;
+	case LOSS_RESTARTED:
+	case LOSS_REPLACED:
+		return true;
+	case LOSS_NOT_LISTED:
+		break;
+	}
+	return false;
+}
+
+void crash_note(const struct cell_runner *rn, const struct run *r, enum run_loss loss)
+{
+	struct job_task *t = &r->job->task[r->task];
+	int64_t survived_ms = cell_runner_survived_ms(rn, r);
+
+	if (t->crash_run == r->number || r->state == RUN_PLANNED || rn->draining ||
+	    !runner_ended(rn, loss))
+		return;
+	t->crash_run = r->number;
+	if (survived_ms >= CRASH_CLEARED_MS) {
+		crash_clear(t);
+		return;
+	}
+	if (survived_ms >= CRASH_EARLY_MS)
+		t->early_crashes = 0;
+	/*
+	 * Without an answer to its start, the run may not have existed when the runner ended. A
+	 * host that fails again and again is not the fault of the task.
+	 */
+	t->crash_was_early = r->confirmed_ms && survived_ms < CRASH_EARLY_MS &&
+			     (!t->crash_host || t->crash_host != rn->host);
+	t->crash_was_alone = r->started_alone;
+	t->crash_host = rn->host;
+	t->crashes++;
+	t->early_crashes += t->crash_was_early;
+	r->job->suspect = true;
+}
+
+void crash_forgive(struct job_task *t, uint32_t run_number)
+{
+	if (!t->crash_host || t->crash_run != run_number)
+		return;
+	t->crash_host = 0;
+	t->crashes -= t->crashes > 0;
+	if (t->crash_was_early)
+		t->early_crashes -= t->early_crashes > 0;
+}
+
+void crash_clear(struct job_task *t)
+{
+	t->crashes = 0;
+	t->early_crashes = 0;
+	t->crash_host = 0;
+}
+
+bool crash_is_conclusive(const struct job_task *t)
+{
+	return (t->early_crashes >= CRASH_EARLY_MAX && t->crash_was_alone) ||
+	       t->crashes >= CRASH_MAX;
+}
+
+enum crash_isolation crash_isolation(const struct job_task *t)
+{
+	if (t->early_crashes >= ALONE_EARLY || t->crashes >= ALONE_ANY)
+		return CRASH_ISOLATION_ALONE;
+	if (t->early_crashes > 0 || t->crashes >= PREFERRED_ANY)
+		return CRASH_ISOLATION_PREFERRED;
+	return CRASH_ISOLATION_NONE;
+}
+
+int64_t crash_alone_ms(const struct job_task *t)
+{
+	return t->early_crashes >= ALONE_EARLY ? ALONE_RELEASED_MS : CRASH_CLEARED_MS;
+}
--- /dev/null
+++ b/packages/cell/process/isolate.c
@@ -0,0 +1,127 @@
+#include "isolate.h"
+#include "advice_request.h"
+#include "crash.h"
+
+#define ISOLATE_WAIT_MS	   5000 /* for a runner without other runs; about the longest tasks */
+#define ISOLATE_POOL_SHARE 8	/* at most 1/n of a pool is kept empty */
+
+bool isolate_is_due(const struct scheduler *s, const struct job_step *step,
+		    const struct job_task *t)
+{
+	if (step->spec->gang || crash_isolation(t) != CRASH_ISOLATION_ALONE)
+		return false;
+	return !t->alone_until_ms || t->alone_until_ms > s->now_ms;
+}
+
+bool isolate_wanted(const struct scheduler *s, const struct cell_job *j,
+		    const struct job_step *step)
+{
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const struct job_task *t = &j->task[step->first_task + i];
+
+		if (!t->done && !t->live_run && isolate_is_due(s, step, t))
+			return true;
+	}
+	return false;
+}
+
+/* Keeps other steps off the runner for the rest of the pass. */
+static void keep_empty(const struct pending_step *ps, struct cell_runner *rn)
+{
+	resources_add(&rn->reserved, &rn->capacity);
+	rn->kept_empty = true;
+	ps->pool->kept_empty++;
+}
+
+static bool has_lasting_run(const struct cell_runner *rn)
+{
+	for (guint i = 0; i < rn->runs->len; i++) {
+		const struct run *r = rn->runs->pdata[i];
+
+		if (cell_job_step_of(r->job, r->task)->spec->lasting)
+			return true;
+	}
+	return false;
+}
+
+static bool is_approved(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	return !ps->advised || (ps->step->advice &&
+				advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED);
+}
+
+/* Returns a runner without runs on which the task may start now, NULL if there is none. */
+static struct cell_runner *find_empty(const struct pass *pass, const struct pending_step *ps,
+				      const struct job_task *t)
+{
+	for (guint i = 0; i < ps->candidates->len; i++) {
+		struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (rn->runs->len == 0 && !rn->kept_empty && rn->host != t->crash_host &&
+		    pending_step_fits(ps, rn) &&
+		    (!ps->advised ||
+		     (ps->step->advice && advice_ticket(ps->step->advice, rn->handle,
+							pass->s->now_ms + ORDER_MARGIN_MS))))
+			return rn;
+	}
+	return NULL;
+}
+
+/* Returns the approved runner with the fewest runs, which will be empty first. */
+static struct cell_runner *find_emptiest(const struct pending_step *ps, const struct job_task *t)
+{
+	struct cell_runner *best = NULL;
+
+	for (guint i = 0; i < ps->candidates->len; i++) {
+		struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (rn->kept_empty || rn->alone || rn->host == t->crash_host ||
+		    !is_approved(ps, rn) || has_lasting_run(rn))
+			continue;
+		if (!best || rn->runs->len < best->runs->len)
+			best = rn;
+	}
+	return best;
+}
+
+static bool may_keep_more(const struct pending_step *ps)
+{
+	return ps->pool->kept_empty < MAX(ps->pool->runners->len / ISOLATE_POOL_SHARE, 1);
+}
+
+static void place_alone(struct pass *pass, const struct pending_step *ps, uint32_t task,
+			struct cell_runner *rn)
+{
+	struct run *r = pending_step_place(pass, ps, task, rn);
+
+	r->started_alone = true;
+	r->alone = true;
+	rn->alone++;
+}
+
+void isolate_place(struct pass *pass, const struct pending_step *ps)
+{
+	bool asked = false;
+
+	for (uint32_t i = 0; i < ps->step->spec->count; i++) {
+		uint32_t number = ps->step->first_task + i;
+		struct job_task *t = &ps->job->task[number];
+		struct cell_runner *rn;
+
+		if (!pending_step_task_waits(pass, t) || !isolate_is_due(pass->s, ps->step, t))
+			continue;
+		if (!t->alone_until_ms)
+			t->alone_until_ms = pass->s->now_ms + ISOLATE_WAIT_MS;
+		rn = find_empty(pass, ps, t);
+		if (rn) {
+			place_alone(pass, ps, number, rn);
+			continue;
+		}
+		if (ps->advised && !asked)
+			advice_request_send(pass, ps, true);
+		asked = true;
+		rn = may_keep_more(ps) ? find_emptiest(ps, t) : NULL;
+		if (rn)
+			keep_empty(ps, rn);
+	}
+}
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -56,7 +56,7 @@
 
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn)
 {
-	if (!headroom_fits(rn, &ps->need, ps->headroom_milli))
+	if (rn->alone || !headroom_fits(rn, &ps->need, ps->headroom_milli))
 		return false;
 	if (interferes(ps, rn))
 		return false;
@@ -98,6 +98,24 @@
 	return score;
 }
 
+bool pending_step_task_waits(const struct pass *pass, const struct job_task *task)
+{
+	return !task->done && !task->live_run && task->not_before_ms <= pass->s->now_ms;
+}
+
+struct run *pending_step_place(struct pass *pass, const struct pending_step *ps, uint32_t task,
+			       struct cell_runner *rn)
+{
+	const char *ticket =
+		ps->advised ? advice_ticket(ps->step->advice, rn->handle, pass->s->now_ms) : NULL;
+	struct run *r = scheduler_plan_run(pass->s, ps->job, task, rn, ticket);
+
+	ps->pool->unplaced_in_row = 0;
+	if (ticket)
+		r->ticket_until_ms = advice_valid_until_ms(ps->step->advice, rn->handle);
+	return r;
+}
+
 int pending_step_by_free(gconstpointer a, gconstpointer b)
 {
 	struct resources x = cell_runner_free_capacity(*(struct cell_runner *const *)a);
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -18,6 +18,7 @@
 	uint32_t preempt_searches; /* for room that preemption could make */
 	uint32_t preempting_steps; /* steps for which runs were stopped */
 	uint32_t unplaced_in_row;  /* steps in a row without room */
+	uint32_t kept_empty;	   /* runners, for tasks that have to run alone */
 };
 
 struct pass {
@@ -53,6 +54,11 @@
 uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max);
 /* pending_step_score - lower is better: the preferred rack first, then the tightest fit. */
 int64_t pending_step_score(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_task_waits - true if the task could start now, were there room. */
+bool pending_step_task_waits(const struct pass *pass, const struct job_task *task);
+/* pending_step_place - plans a run of the task on the runner, which has to have room. */
+struct run *pending_step_place(struct pass *pass, const struct pending_step *ps, uint32_t task,
+			       struct cell_runner *rn);
 /* pending_step_by_free - compares runners (struct cell_runner **) to sort the freest first. */
 int pending_step_by_free(gconstpointer a, gconstpointer b);
 
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -2,6 +2,8 @@
 
 #include "job_rank.h"
 #include "advice_request.h"
+#include "crash.h"
+#include "isolate.h"
 #include "reserve.h"
 #include "headroom.h"
 #include "step_room.h"
@@ -57,6 +59,7 @@
 		struct pass_pool *pool;
 
 		rn->reserved = (struct resources){ 0 };
+		rn->kept_empty = false;
 		if (!rn->service || !scheduler_can_use_runner(pass->s, rn))
 			continue;
 		pool = g_hash_table_lookup(pass->pool, rn->service);
@@ -89,23 +92,6 @@
 	return 0;
 }
 
-static bool task_waits(const struct pass *pass, const struct job_task *task)
-{
-	return !task->done && !task->live_run && task->not_before_ms <= pass->s->now_ms;
-}
-
-static void place(struct pass *pass, const struct pending_step *ps, uint32_t task,
-		  struct cell_runner *rn)
-{
-	const char *ticket =
-		ps->advised ? advice_ticket(ps->step->advice, rn->handle, pass->s->now_ms) : NULL;
-	struct run *r = scheduler_plan_run(pass->s, ps->job, task, rn, ticket);
-
-	ps->pool->unplaced_in_row = 0;
-	if (ticket)
-		r->ticket_until_ms = advice_valid_until_ms(ps->step->advice, rn->handle);
-}
-
 /*
  * Small tasks take each part of a runner as soon as it is free, so that a large task of higher rank
  * would starve.
@@ -136,6 +122,16 @@
 	return false;
 }
 
+static struct cell_runner *find_room(const struct pass *pass, const struct pending_step *ps,
+				     const struct step_room *room, const struct job_task *task)
+{
+	uint32_t avoid = runner_to_avoid(pass, ps, task);
+
+	if (crash_isolation(task) != CRASH_ISOLATION_NONE)
+		return step_room_emptiest(room, avoid, task->crash_host);
+	return step_room_best(room, avoid);
+}
+
 static void place_tasks(struct pass *pass, const struct pending_step *ps)
 {
 	struct step_room *room = step_room_create(pass, ps, NULL, true);
@@ -149,11 +145,11 @@
 		bool avoids = task->avoid_until_ms > pass->s->now_ms;
 		struct cell_runner *rn;
 
-		if (!task_waits(pass, task))
+		if (!pending_step_task_waits(pass, task) || isolate_is_due(pass->s, ps->step, task))
 			continue;
-		rn = step_room_best(room, runner_to_avoid(pass, ps, task));
+		rn = find_room(pass, ps, room, task);
 		if (rn) {
-			place(pass, ps, ps->step->first_task + i, rn);
+			pending_step_place(pass, ps, ps->step->first_task + i, rn);
 			step_room_taken(room, rn);
 			continue;
 		}
@@ -241,7 +237,7 @@
 		last = MAX(last, ps->job->task[first + i].last_run);
 	for (uint32_t i = 0; i < ps->step->spec->count; i++) {
 		ps->job->task[first + i].last_run = last;
-		place(pass, ps, first + i, members[i]);
+		pending_step_place(pass, ps, first + i, members[i]);
 	}
 }
 
@@ -295,7 +291,7 @@
 	bool reserved;
 
 	for (uint32_t i = 0; i < spec->count; i++)
-		if (!task_waits(pass, &ps->job->task[ps->step->first_task + i]))
+		if (!pending_step_task_waits(pass, &ps->job->task[ps->step->first_task + i]))
 			return;
 	members = g_new0(struct cell_runner *, spec->count);
 	if (find_gang_rack(pass, ps, true, members)) {
@@ -338,7 +334,17 @@
 	return large * 2 > ps->candidates->len;
 }
 
-static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step)
+typedef void (*place_fn)(struct pass *pass, const struct pending_step *ps);
+
+static void place_any(struct pass *pass, const struct pending_step *ps)
+{
+	if (ps->step->spec->gang)
+		place_gang(pass, ps);
+	else
+		place_tasks(pass, ps);
+}
+
+static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step, place_fn fn)
 {
 	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
 	struct pending_step ps = { .job = j, .step = step, .queue = q };
@@ -361,23 +367,40 @@
 		if (pending_step_can_use(&ps, ps.pool->runners->pdata[i]))
 			g_ptr_array_add(candidates, ps.pool->runners->pdata[i]);
 	ps.large = is_large(&ps);
-	if (step->spec->gang)
-		place_gang(pass, &ps);
-	else
-		place_tasks(pass, &ps);
+	fn(pass, &ps);
 }
 
-static void place_job(struct pass *pass, struct cell_job *j)
+static bool step_waits(const struct pass *pass, const struct cell_job *j,
+		       const struct job_step *step)
+{
+	return step->done + step->live_runs < step->spec->count &&
+	       cell_job_step_ready(j, step, pass->s->wall_ms);
+}
+
+/* Before all others, which would take each runner as soon as it is empty. */
+static void place_isolated(struct pass *pass)
 {
-	for (uint32_t i = 0; i < j->n_step; i++) {
-		struct job_step *step = &j->step[i];
+	for (guint i = 0; i < pass->s->open_jobs->len; i++) {
+		struct cell_job *j = pass->s->open_jobs->pdata[i];
 
-		if (step->done + step->live_runs < step->spec->count &&
-		    cell_job_step_ready(j, step, pass->s->wall_ms))
-			place_step(pass, j, step);
+		if (!j->suspect || cell_job_has_ended(j))
+			continue;
+		for (uint32_t k = 0; k < j->n_step; k++)
+			if (step_waits(pass, j, &j->step[k]) &&
+			    isolate_wanted(pass->s, j, &j->step[k]))
+				place_step(pass, j, &j->step[k], isolate_place);
 	}
 }
 
+static void place_job(struct pass *pass, struct cell_job *j)
+{
+	if (cell_job_has_ended(j))
+		return;
+	for (uint32_t i = 0; i < j->n_step; i++)
+		if (step_waits(pass, j, &j->step[i]))
+			place_step(pass, j, &j->step[i], place_any);
+}
+
 /*
  * True once all runners have answered the first poll or missed it. Advice requested for only a few
  * of the runners would have to be requested again.
@@ -412,11 +435,8 @@
 	s->stats.steps_awaiting_advice = 0;
 	s->stats.steps_advice_deferred = 0;
 	s->stats.gangs_waiting = 0;
-	for (guint i = 0; i < s->open_jobs->len; i++) {
-		struct cell_job *j = s->open_jobs->pdata[i];
-
-		if (!cell_job_has_ended(j))
-			place_job(&pass, j);
-	}
+	place_isolated(&pass);
+	for (guint i = 0; i < s->open_jobs->len; i++)
+		place_job(&pass, s->open_jobs->pdata[i]);
 	g_hash_table_unref(pass.pool);
 }
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -1,5 +1,6 @@
 #define G_LOG_DOMAIN "poll"
 
+#include "crash.h"
 #include "scheduler_priv.h"
 
 #define FAILURES_MAX	   2	 /* failures in a row that put a runner into quarantine */
@@ -79,6 +80,7 @@
 			return;
 		finish_task(s, j, task, end->run);
 	} else if (end->end == END_FAILED) {
+		crash_clear(&j->task[task]);
 		end_failed(s, rn, j, task);
 	}
 }
@@ -108,6 +110,7 @@
 		return;
 	}
 	scheduler_mark_started(s, j);
+	crash_forgive(&j->task[task], end->run);
 	step = cell_job_step_of(j, task);
 	r = j->task[task].live_run;
 	if (r && r->number == end->run && r->runner == rn) {
@@ -233,6 +236,10 @@
 		r->confirmed_ms = s->now_ms;
 		scheduler_mark_started(s, r->job);
 	}
+	if (s->now_ms - r->confirmed_ms >= crash_alone_ms(&r->job->task[r->task]))
+		cell_runner_share(rn, r);
+	if (s->now_ms - r->confirmed_ms >= CRASH_CLEARED_MS)
+		crash_clear(&r->job->task[r->task]);
 	cell_job_set_checkpoint(r->job, r->task, row->checkpoint);
 	if (is_hung(s, r, row->usage))
 		stop_hung(s, rn, r);
--- a/packages/cell/process/progress_record.c
+++ b/packages/cell/process/progress_record.c
@@ -68,6 +68,9 @@
 	t->task = number;
 	t->run = task->last_run;
 	t->failures = task->failures;
+	t->crashes = task->crashes;
+	t->early_crashes = task->early_crashes;
+	t->crash_run = task->crash_run;
 	if (has_checkpoint(task))
 		t->checkpoint = task->checkpoint;
 	if (task->live_run)
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -1,5 +1,6 @@
 #define G_LOG_DOMAIN "runners"
 
+#include "crash.h"
 #include "scheduler_priv.h"
 
 #define POLL_WAIT_MS	  1500 /* a poll waits this long for an end; the platform's limit is 2 s */
@@ -43,6 +44,7 @@
  */
 static void move_run(struct scheduler *s, struct run *r, struct cell_runner *to)
 {
+	crash_note(r->runner, r, LOSS_RESTARTED);
 	cell_runner_detach_run(r->runner, r);
 	cell_runner_add_run(to, r);
 	/* The next scheduler has to find this incarnation in the log. */
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -1,5 +1,6 @@
 #define G_LOG_DOMAIN "runs"
 
+#include "crash.h"
 #include "scheduler_priv.h"
 
 #define START_TIMEOUT_MS      200 /* then a start is sent again; an answer takes 1 to 30 ms */
@@ -39,6 +40,7 @@
 	struct run *r = runs_create(s, j, task, j->task[task].last_run + 1);
 
 	j->task[task].last_run = r->number;
+	j->task[task].alone_until_ms = 0;
 	r->ticket = g_strdup(ticket);
 	cell_runner_add_run(rn, r);
 	runs_attach(j, r);
@@ -70,6 +72,18 @@
 		scheduler_stop_gang(s, j, step);
 }
 
+static void give_up(struct scheduler *s, struct cell_job *j, uint32_t task)
+{
+	const struct decision d = { .kind = DECISION_GIVEN_UP,
+				    .job = j,
+				    .task = task,
+				    .run = j->task[task].last_run,
+				    .age_ms = s->wall_ms - j->spec->accepted_ms };
+
+	scheduler_report(s, &d);
+	scheduler_end_job(s, j, JOB_FAILED);
+}
+
 void scheduler_lose_run(struct scheduler *s, struct run *r, enum run_loss loss)
 {
 	const struct decision d = { .kind = DECISION_LOST,
@@ -80,10 +94,15 @@
 				    .age_ms = s->now_ms - r->planned_ms,
 				    .loss = loss,
 				    .survived_ms = cell_runner_survived_ms(r->runner, r) };
+	struct cell_job *j = r->job;
+	uint32_t task = r->task;
 
 	s->stats.runs_lost++;
 	scheduler_report(s, &d);
+	crash_note(r->runner, r, loss);
 	drop_run(s, r);
+	if (!cell_job_has_ended(j) && !j->task[task].done && crash_is_conclusive(&j->task[task]))
+		give_up(s, j, task);
 }
 
 struct route runs_route(const struct cell_runner *rn, uint32_t tries)
@@ -207,6 +226,7 @@
 	if (result == START_OK) {
 		r->state = RUN_CONFIRMED;
 		r->confirmed_ms = now_ms;
+		r->runner->alive_ms = now_ms;
 		if (!r->job->started)
 			scheduler_report_job(s, DECISION_FIRST_START, r->job);
 		scheduler_mark_started(s, r->job);
@@ -248,5 +268,6 @@
 	if (!r || !answered)
 		return;
 	r->stop_answered_ms = now_ms;
+	r->runner->alive_ms = now_ms;
 	r->runner->next_poll_ms = MIN(r->runner->next_poll_ms, now_ms);
 }
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -130,6 +130,7 @@
 	DECISION_FAILED,	     /* a run failed */
 	DECISION_HUNG,		     /* a run makes no progress and is stopped */
 	DECISION_LOST,		     /* a run is gone and its end is not known */
+	DECISION_GIVEN_UP,	     /* runners end under each run of the task: its job fails */
 	DECISION_PREEMPTED,	     /* a run is stopped for more urgent work */
 	DECISION_END_IGNORED,	     /* a runner lists the end of a run that is not the live one */
 	DECISION_RUNNER_SILENT,	     /* a runner does not answer polls */
--- a/packages/cell/process/step_room.c
+++ b/packages/cell/process/step_room.c
@@ -67,6 +67,29 @@
 	return best ? best->runner : NULL;
 }
 
+static bool is_emptier(const struct place *a, const struct place *b, uint32_t avoid_host)
+{
+	bool avoid_a = a->runner->host == avoid_host;
+	bool avoid_b = b->runner->host == avoid_host;
+
+	return avoid_a != avoid_b ? avoid_b : a->runner->runs->len < b->runner->runs->len;
+}
+
+struct cell_runner *step_room_emptiest(const struct step_room *r, uint32_t avoid,
+				       uint32_t avoid_host)
+{
+	const struct place *best = NULL;
+
+	for (guint i = 0; i < r->place->len; i++) {
+		const struct place *p = &g_array_index(r->place, struct place, i);
+
+		if (!p->full && p->runner->handle + 1 != avoid &&
+		    (!best || is_emptier(p, best, avoid_host)))
+			best = p;
+	}
+	return best ? best->runner : NULL;
+}
+
 void step_room_taken(struct step_room *r, struct cell_runner *rn)
 {
 	for (guint i = 0; i < r->place->len; i++) {
--- a/packages/cell/process/step_room.h
+++ b/packages/cell/process/step_room.h
@@ -18,6 +18,12 @@
 void step_room_destroy(struct step_room *r);
 /* step_room_best - returns the best runner but the one with handle avoid - 1, NULL for none. */
 struct cell_runner *step_room_best(const struct step_room *r, uint32_t avoid);
+/*
+ * step_room_emptiest - as step_room_best(), but the runner with the fewest runs, and one on another
+ * host than avoid_host if there is one.
+ */
+struct cell_runner *step_room_emptiest(const struct step_room *r, uint32_t avoid,
+				       uint32_t avoid_host);
 /* step_room_taken - room on the runner was used or reserved. */
 void step_room_taken(struct step_room *r, struct cell_runner *rn);
 /* step_room_holds - true if there is room for that many tasks. */
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -126,6 +126,10 @@
 			continue;
 		j->task[t->task].last_run = t->run;
 		j->task[t->task].failures = t->failures;
+		j->task[t->task].crashes = t->crashes;
+		j->task[t->task].early_crashes = t->early_crashes;
+		j->task[t->task].crash_run = t->crash_run;
+		j->suspect = j->suspect || t->crashes;
 		j->task[t->task].done = t->done;
 		cell_job_set_checkpoint(j, t->task, t->checkpoint);
 	}
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -33,8 +33,15 @@
 struct job_rank;
 
 struct job_task {
-	uint32_t last_run; /* number of the last start, 0 for none */
-	uint32_t failures; /* runs that failed by themselves, not lost or stopped ones */
+	uint32_t last_run;	/* number of the last start, 0 for none */
+	uint32_t failures;	/* runs that failed by themselves, not lost or stopped ones */
+	uint32_t crashes;	/* runners that ended under its runs in a row */
+	uint32_t early_crashes; /* those in a row that ended right after the start */
+	uint32_t crash_run;	/* last run that was counted, 0 for none */
+	uint32_t crash_host;	/* of its runner; 0 if it isn't known, or the task was cleared */
+	bool crash_was_early;	/* that one */
+	bool crash_was_alone;	/* that one was started on a runner without other runs */
+	int64_t alone_until_ms; /* it waits for such a runner until then; 0 if it doesn't wait */
 	bool done;
 	char *checkpoint;      /* NULL for none */
 	struct run *live_run;  /* run that may exist, owned by the scheduler; NULL for none */
@@ -69,6 +76,7 @@
 	struct job_step *step;
 	Cell__Progress *stored_progress; /* progress as last read, NULL for none */
 	/* Used by the scheduler. */
+	bool suspect;		/* a runner has ended under one of its runs */
 	bool dirty;		/* changed since it was last written */
 	bool listed;		/* in the scheduler's list of open jobs */
 	bool runs_inherited;	/* the runs in stored_progress have been taken over */
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -64,6 +64,15 @@
 			    "%s: ignored, as run %u is not the current one", ends[d->end], d->run);
 		return;
 	}
+	if (d->kind == DECISION_GIVEN_UP) {
+		const struct job_task *t = &d->job->task[d->task];
+
+		log_request(LOG_NOTICE, task, "run", NULL,
+			    "given up after run %u: %u runners in a row ended under its runs, the "
+			    "last %u right after the start",
+			    d->run, t->crashes, t->early_crashes);
+		return;
+	}
 	if (d->kind == DECISION_LOST) {
 		log_request(LOG_INFO, task, "run", d->runner,
 			    "run lost: %s; run %u, planned %" G_GINT64_FORMAT
@@ -105,6 +114,7 @@
 					     [DECISION_FAILED] = "run_failed",
 					     [DECISION_HUNG] = "run_hangs",
 					     [DECISION_LOST] = "run_lost",
+					     [DECISION_GIVEN_UP] = "task_given_up",
 					     [DECISION_RUNNER_SILENT] = "runner_silent",
 					     [DECISION_RUNNER_RECOVERED] = "runner_back",
 					     [DECISION_RUNNER_QUARANTINED] = "runner_barred",
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1508,7 +1508,7 @@
   (ProtobufCMessageInit) cell__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[11] =
 {
   {
     "task",
@@ -1606,11 +1606,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "early_crashes",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, early_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_run",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, crash_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
   6,   /* field[6] = checkpoint */
+  10,   /* field[10] = crash_run */
+  8,   /* field[8] = crashes */
   3,   /* field[3] = done */
+  9,   /* field[9] = early_crashes */
   2,   /* field[2] = failures */
   1,   /* field[1] = run */
   4,   /* field[4] = runner */
@@ -1620,7 +1659,7 @@
 static const ProtobufCIntRange cell__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cell__task_progress__descriptor =
 {
@@ -1630,7 +1669,7 @@
   "Cell__TaskProgress",
   "cell",
   sizeof(Cell__TaskProgress),
-  8,
+  11,
   cell__task_progress__field_descriptors,
   cell__task_progress__field_indices_by_name,
   1,  cell__task_progress__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -126,10 +126,19 @@
    * Index + 1 of the runner in Progress.runner; 0 for none.
    */
   uint32_t runner_index;
+  /*
+   * Runners that ended under its runs in a row, and those of them that ended right after the start.
+   */
+  uint32_t crashes;
+  uint32_t early_crashes;
+  /*
+   * Last run that was counted.
+   */
+  uint32_t crash_run;
 };
 #define CELL__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Cell__RunnerRef
--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -202,8 +202,9 @@
 
 static void list_runner(struct sim *s, struct sim_sched *to, struct sim_runner *r)
 {
+	g_autofree char *address = g_strdup_printf("10.0.0.%u:80", r->number);
 	struct runner_info info = { .id = r->id,
-				    .address = "10.0.0.1:80",
+				    .address = address,
 				    .service = "desk",
 				    .dc = "dc",
 				    .rack = "rack",
--- a/tests/cell/sim_priv.h
+++ b/tests/cell/sim_priv.h
@@ -52,6 +52,7 @@
 	int64_t last_start_ms;
 	GArray *failed_ms;	       /* times of ends as failed that were acknowledged */
 	uint32_t crashes;	       /* of runners, by the task */
+	uint32_t ends_of_runners;      /* under its runs, for any cause */
 	uint32_t starts_after_crashes; /* since the third crash */
 };
 
@@ -62,7 +63,8 @@
 	bool is_cancelled;
 	bool is_poisoned;
 	bool crashes;	       /* its first task crashes the runner that it starts on */
-	bool has_failed_often; /* a task has used up its attempts or has crashed two runners */
+	bool has_failed_often; /* a task has used up its attempts, or two runners have crashed under
+				  it */
 	uint32_t attempts;
 };
 
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -207,8 +207,17 @@
 	}
 }
 
+/* By the platform's rule, a task under which two runners have crashed may be given up. */
+static void note_crash(struct sim *s, const struct sim_task *t)
+{
+	if (++history_of(s, t->name)->ends_of_runners >= CRASHES_TO_GIVE_UP)
+		job_of_task(s, t->name)->has_failed_often = true;
+}
+
 void sim_runner_restart(struct sim *s, struct sim_runner *r, int64_t down_ms, bool new_id)
 {
+	for (guint i = 0; i < r->task->len; i++)
+		note_crash(s, r->task->pdata[i]);
 	r->silent_until_ms = s->now_ms + down_ms;
 	r->incarnation_ms = s->now_ms;
 	r->fence = 0;
@@ -237,10 +246,7 @@
 /* All runs of the runner are lost, with no trace of which one was at fault. */
 static void crash(struct sim *s, struct sim_runner *r, const struct sim_task *by)
 {
-	struct sim_history *h = history_of(s, by->name);
-
-	if (++h->crashes >= CRASHES_TO_GIVE_UP)
-		job_of_task(s, by->name)->has_failed_often = true;
+	history_of(s, by->name)->crashes++;
 	s->result->crashes++;
 	s->result->runs_in_crashes += r->task->len - 1;
 	sim_runner_restart(s, r, CRASHED_MS + sim_pick(s, CRASHED_MORE_MS),
