cell: the runs of a runner end when another one answers at its address

Callers saw: tasks that were lost with a crashed runner started again 6.2 s later, when its last lease had ended, though the runner was back after 3 s. Cause: a poll that another incarnation or runner answered (421 to the id that the order names) counted like one without an answer. The process that listens at the address is another one, so the runner has ended and runs nothing, and orders to it that are still under way are refused. Ruled out as a proof: a refused connection, which a cut may cause too. Change: such a reply ends the runner's runs at once, and the runner isn't used again under that id. Test: cell_scheduler runs_of_a_replaced_runner_are_lost_at_once, failed before.

--- a/packages/cell/process/cell_runner.c
+++ b/packages/cell/process/cell_runner.c
@@ -68,7 +68,7 @@
 		set_text(&rn->label[i], info->label[i]);
 	rn->capacity = info->capacity;
 	rn->draining = info->draining;
-	rn->gone = false;
+	rn->gone = rn->replaced;
 }
 
 void cell_runner_answered(struct cell_runner *rn, int64_t clock_ms, int64_t now_ms)
--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -89,6 +89,7 @@
 	struct resources reserved; /* for steps of higher rank, in the current placement pass */
 	bool draining;
 	bool gone;		  /* no longer listed by the platform */
+	bool replaced;		  /* another runner answers at its address */
 	bool restarted;		  /* this scheduler knew an earlier incarnation */
 	bool contacted;		  /* has answered this scheduler */
 	int64_t first_contact_ms; /* its first answer to this scheduler */
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -132,6 +132,19 @@
 	return young || rn->restarted ? s->conf.lease_cap_ms : s->conf.lease_ms;
 }
 
+/*
+ * Another runner answers at the address, so this one has ended, and with it its runs. The entry of
+ * the platform's list may be older than that.
+ */
+static void runner_replaced(struct scheduler *s, struct cell_runner *rn)
+{
+	scheduler_report_runner(s, DECISION_RUNNER_REPLACED, rn, s->now_ms - rn->answered_ms);
+	rn->replaced = true;
+	rn->gone = true;
+	while (rn->runs->len)
+		scheduler_lose_run(s, rn->runs->pdata[rn->runs->len - 1], LOSS_REPLACED);
+}
+
 void scheduler_poll_answered(struct scheduler *s, const char *runner, uint64_t poll_id,
 			     const struct poll_reply *reply, int64_t now_ms)
 {
@@ -165,10 +178,11 @@
 		replace_incarnation(s, rn, &info);
 		return;
 	}
-	if (!reply || reply->other_incarnation || reply->incarnation_ms < rn->incarnation_ms) {
-		if (reply && reply->other_incarnation)
-			scheduler_report_runner(s, DECISION_RUNNER_REPLACED, rn,
-						now_ms - rn->answered_ms);
+	if (reply && reply->other_incarnation) {
+		runner_replaced(s, rn);
+		return;
+	}
+	if (!reply || reply->incarnation_ms < rn->incarnation_ms) {
 		rn->misses++;
 		rn->next_poll_ms =
 			now_ms + MIN((int64_t)POLL_RETRY_MS * (rn->misses - 1), POLL_RETRY_MAX_MS);
--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -349,6 +349,13 @@
 	return take_poll(f, runner, &reply);
 }
 
+bool fixture_poll_other(struct fixture *f, const char *runner)
+{
+	const struct poll_reply reply = { .other_incarnation = true };
+
+	return take_poll(f, runner, &reply);
+}
+
 bool fixture_poll_lost(struct fixture *f, const char *runner)
 {
 	return take_poll(f, runner, NULL);
--- a/tests/cell/fixture.h
+++ b/tests/cell/fixture.h
@@ -94,6 +94,8 @@
 /* fixture_poll_answer - answers the runner's oldest poll; false if there is none. */
 bool fixture_poll_answer(struct fixture *f, const char *runner, const struct poll_running *running,
 			 size_t n_running, const struct poll_ended *ended, size_t n_ended);
+/* fixture_poll_other - another runner answers the runner's oldest poll; false if there is none. */
+bool fixture_poll_other(struct fixture *f, const char *runner);
 /* fixture_poll_lost - the runner's oldest poll gets no reply; false if there is none. */
 bool fixture_poll_lost(struct fixture *f, const char *runner);
 /* fixture_start_answer - answers the oldest start of the task; false if there is none. */
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -731,3 +731,37 @@
 		fixture_destroy(f);
 	}
 }
+
+/*
+ * A crashed runner comes back under another id at the same address. Its runs were thought to be
+ * running until their lease had ended, seconds later.
+ */
+Test(scheduler, runs_of_a_replaced_runner_are_lost_at_once)
+{
+	struct fixture *f = fixture_default(2, 1000);
+	g_autofree char *runner = NULL;
+
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 1, 100));
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	runner = g_strdup(fixture_start_at(f, 0)->runner);
+	fixture_accept_starts(f);
+	fixture_advance(f, 1);
+	cr_assert(fixture_poll_lost(f, runner));
+	fixture_advance(f, 200);
+	cr_assert_eq(f->starts, 1, "silence proves nothing");
+	cr_assert(fixture_poll_other(f, runner));
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	cr_assert_eq(f->starts, 2);
+	cr_expect_eq(fixture_start_at(f, 0)->run, 2);
+	cr_expect_str_neq(fixture_start_at(f, 0)->runner, runner);
+	/* The entry of the ended runner may change once more. */
+	fixture_add_runner(f, runner, "desk", "rack0", 1000, 0);
+	fixture_submit(f, fixture_new_job(ID_B, "urgent", 10, 100));
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	for (guint i = 0; i < f->start->len; i++)
+		cr_expect_str_neq(fixture_start_at(f, i)->runner, runner);
+	fixture_destroy(f);
+}
