cell: a start fits the runner's capacity at the time it is sent

Callers saw: nothing yet. The platform counts a start over a capacity that has shrunk as a broken rule (LIMIT). Cause: capacity was checked when a run was planned. Its start waits until the intent is stored, which takes seconds while the store is away or slow, and the runner may report less capacity meanwhile. Change: the start is dropped and its task placed again if the runs of the runner, with those planned, exceed its capacity when the intent is stored.

--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -130,6 +130,12 @@
 	return r->ticket && r->ticket_until_ms < s->now_ms + START_TRANSIT_MS;
 }
 
+/* The capacity may have shrunk since the run was planned. */
+static bool exceeds_capacity(const struct cell_runner *rn)
+{
+	return !resources_fits(&rn->used, &rn->capacity);
+}
+
 /* Sends the starts whose intent and job are stored. */
 static void send_planned(struct scheduler *s)
 {
@@ -140,7 +146,8 @@
 			continue;
 		g_ptr_array_remove_index_fast(s->planned_runs, i - 1);
 		if (r->stopping || !scheduler_can_use_runner(s, r->runner) ||
-		    ticket_expires(s, r) || s->now_ms > s->grant_until_ms)
+		    exceeds_capacity(r->runner) || ticket_expires(s, r) ||
+		    s->now_ms > s->grant_until_ms)
 			runs_requeue(s, r, 0);
 		else
 			runs_send_start(s, r);
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -765,3 +765,27 @@
 		cr_expect_str_neq(fixture_start_at(f, i)->runner, runner);
 	fixture_destroy(f);
 }
+
+/* In a slow store a start waits for its intent, and the runner's capacity may shrink meanwhile. */
+Test(scheduler, a_start_fits_the_capacity_at_the_time_it_is_sent)
+{
+	static const struct {
+		const char *what;
+		int64_t cpu_milli; /* after the change */
+		uint32_t starts;
+	} cases[] = {
+		{ "unchanged", 1000, 2 }, { "grown", 2000, 2 },	      { "still enough", 800, 2 },
+		{ "half", 500, 1 },	  { "nothing fits", 300, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = fixture_default(1, 1000);
+
+		fixture_submit(f, fixture_new_job(ID_A, "urgent", 2, 400));
+		fixture_advance(f, 1);
+		fixture_add_runner(f, "r0", "desk", "rack0", cases[i].cpu_milli, 0);
+		fixture_ack_batch(f);
+		cr_expect_eq(f->starts, cases[i].starts, "%s: %u starts", cases[i].what, f->starts);
+		fixture_destroy(f);
+	}
+}
