cell: a new incarnation of a runner has no capacity until it is listed

Callers saw: nothing yet; a start beyond a runner's capacity is a broken rule (LIMIT), and one on a runner without the needed label another (ROUTE). Cause: a restart that shows in a reply to a poll kept the capacity, rack and labels of the earlier incarnation until the platform's list was read. A new incarnation may be of another kind. Change: it has none of them until it is listed, so it gets no starts; runs are followed as before.

--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -132,6 +132,21 @@
 	return young || rn->restarted ? s->conf.lease_cap_ms : s->conf.lease_ms;
 }
 
+/*
+ * A new incarnation may be of another kind: with other labels, and less capacity. It has none until
+ * the platform lists it.
+ */
+static void runner_restarted(struct scheduler *s, struct cell_runner *rn, int64_t incarnation_ms)
+{
+	const struct runner_info info = { .id = rn->id,
+					  .address = rn->address,
+					  .service = rn->service,
+					  .dc = rn->dc,
+					  .incarnation_ms = incarnation_ms };
+
+	replace_incarnation(s, rn, &info);
+}
+
 /*
  * Another runner answers at the address, so this one has ended, and with it its runs. The entry of
  * the platform's list may be older than that.
@@ -165,17 +180,7 @@
 	rn->polling = false;
 	rn->next_poll_ms = now_ms;
 	if (reply && reply->incarnation_ms > rn->incarnation_ms && rn->incarnation_ms) {
-		struct runner_info info = { .id = runner,
-					    .address = rn->address,
-					    .service = rn->service,
-					    .dc = rn->dc,
-					    .rack = rn->rack,
-					    .capacity = rn->capacity,
-					    .incarnation_ms = reply->incarnation_ms };
-
-		for (int i = 0; i < RUNNER_LABELS_MAX; i++)
-			info.label[i] = rn->label[i];
-		replace_incarnation(s, rn, &info);
+		runner_restarted(s, rn, reply->incarnation_ms);
 		return;
 	}
 	if (reply && reply->other_incarnation) {
--- a/tests/cell/test_takeover.c
+++ b/tests/cell/test_takeover.c
@@ -615,3 +615,27 @@
 			     scheduler_fence(cases[i - 1].term, cases[i - 1].fence_seq), "case %zu",
 			     i);
 }
+
+/*
+ * A runner that restarts may come back smaller, or with other labels. A poll tells of the restart
+ * before the platform's list does.
+ */
+Test(scheduler, a_new_incarnation_gets_starts_once_it_is_listed)
+{
+	struct fixture *f = fixture_default(1, 5000);
+
+	f->incarnation_ms = 2000;
+	fixture_advance(f, 5000);
+	cr_assert(fixture_poll_answer(f, "r0", NULL, 0, NULL, 0));
+	fixture_poll_all(f);
+	fixture_submit(f, fixture_new_job(ID_A, "urgent", 5, 400));
+	fixture_advance(f, 20000);
+	fixture_poll_all(f);
+	fixture_ack_batch(f);
+	cr_assert_eq(f->starts, 0, "its capacity is not known");
+	fixture_restart_r0(f);
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	cr_assert_eq(f->starts, 2, "it has 1000 now");
+	fixture_destroy(f);
+}
