cell: suspects wait 2 s for a runner of their own; a restarted runner isn't forgiven

A task waited 5 s for a runner without runs, while the platform counts a job as lost that has had nothing running for 3 s beside free capacity. And an end of the same run that a later incarnation lists, which a late order may have started, undid the count of the crash before. Change: 2 s, then the runner with the fewest runs; only a runner that was silent can be forgiven. Test: cell_crash a_runner_that_lives_on_is_not_counted has the second case.

--- a/packages/cell/process/crash.c
+++ b/packages/cell/process/crash.c
@@ -46,6 +46,7 @@
 	t->crash_was_early = r->confirmed_ms && survived_ms < CRASH_EARLY_MS &&
 			     (!t->crash_host || t->crash_host != rn->host);
 	t->crash_was_alone = r->started_alone;
+	t->crash_is_certain = loss != LOSS_LEASE_ENDED;
 	t->crash_host = rn->host;
 	t->crashes++;
 	t->early_crashes += t->crash_was_early;
@@ -54,9 +55,9 @@
 
 void crash_forgive(struct job_task *t, uint32_t run_number)
 {
-	if (!t->crash_host || t->crash_run != run_number)
+	if (t->crash_is_certain || t->crash_run != run_number)
 		return;
-	t->crash_host = 0;
+	t->crash_is_certain = true;
 	t->crashes -= t->crashes > 0;
 	if (t->crash_was_early)
 		t->early_crashes -= t->early_crashes > 0;
--- a/packages/cell/process/isolate.c
+++ b/packages/cell/process/isolate.c
@@ -2,7 +2,7 @@
 #include "advice_request.h"
 #include "crash.h"
 
-#define ISOLATE_WAIT_MS	   5000 /* for a runner without other runs; about the longest tasks */
+#define ISOLATE_WAIT_MS	   2000 /* after 3 s without a run a job counts as lost */
 #define ISOLATE_POOL_SHARE 8	/* at most 1/n of a pool is kept empty */
 
 bool isolate_is_due(const struct scheduler *s, const struct job_step *step,
--- a/tests/cell/test_crash.c
+++ b/tests/cell/test_crash.c
@@ -147,6 +147,9 @@
 	crash_forgive(&j->task[0], 1);
 	cr_expect_eq(j->task[0].crashes, 0);
 	cr_expect_eq(j->task[0].early_crashes, 0);
+	note_end(j, &(const struct end){ -1, "b:1", .loss = LOSS_RESTARTED });
+	crash_forgive(&j->task[0], 2);
+	cr_expect_eq(j->task[0].crashes, 1, "a late order has started the run once more");
 	cell_job_destroy(j);
 }
 
