--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -74,8 +74,7 @@
 struct cell_runner {
 	char *id;
 	char *address;
-	uint32_t host; /* hash of the address, which stays when a runner is restarted; 0 if unknown
-			*/
+	uint32_t host; /* hash of the address, which a restart keeps; 0 if unknown */
 	char *service;
 	char *dc;
 	char *rack;
--- a/packages/cell/process/crash.c
+++ b/packages/cell/process/crash.c
@@ -1,11 +1,11 @@
 #include "crash.h"
 
-#define CRASH_EARLY_MS	  300 /* after the start; replies through other nodes may be that late */
-#define CRASH_EARLY_MAX	  3   /* early ends in a row, after which a task is given up */
-#define CRASH_MAX	  5   /* ends in a row; the platform allows two starts after the third */
-#define ALONE_EARLY	  2   /* early ends in a row, after which a task runs alone */
-#define ALONE_ANY	  3
-#define PREFERRED_ANY	  2
+#define CRASH_EARLY_MS	  300  /* after the start; replies through other nodes may be that late */
+#define CRASH_EARLY_MAX	  3    /* early ends in a row, after which a task is given up */
+#define CRASH_MAX	  5    /* ends in a row; the platform allows two starts after the third */
+#define ALONE_EARLY	  2    /* early ends in a row, after which a task runs alone */
+#define ALONE_ANY	  3    /* ends of any kind in a row, after which it does too */
+#define PREFERRED_ANY	  2    /* ends of any kind, after which it prefers an empty runner */
 #define ALONE_RELEASED_MS 1000 /* a task suspected of early ends runs alone for so long */
 
 /* Whether the run was lost because its runner has ended, or may have. */
--- a/packages/cell/process/crash.h
+++ b/packages/cell/process/crash.h
@@ -7,8 +7,8 @@
  * crash - tells tasks that crash their runners from those that were only near.
  *
  * A runner that ends says nothing of its runs, so the end counts against each of them. A task at
- * fault ends its runner right after its start, each time. One that has run for CRASH_CLEARED_MS, or
- * has failed by itself, is cleared of earlier ends.
+ * fault ends its runner right after each start. A run that lives for CRASH_CLEARED_MS, or fails by
+ * itself, clears its task of earlier ends.
  */
 #define CRASH_CLEARED_MS 5000
 
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -41,7 +41,7 @@
 	uint32_t crash_host;	/* of its runner; 0 if it isn't known, or the task was cleared */
 	bool crash_was_early;	/* that one */
 	bool crash_was_alone;	/* that one was started on a runner without other runs */
-	bool crash_is_certain;	/* the runner of that one can't be only silent, or was not */
+	bool crash_is_certain;	/* that one's runner has ended, or is known to live on */
 	int64_t alone_until_ms; /* it waits for such a runner until then; 0 if it doesn't wait */
 	bool done;
 	char *checkpoint;      /* NULL for none */
