cell: report a replaced runner once

Its first poll is answered by the other runner again, and the log named a last answer 27,207,579 ms ago. Change: reported only if this scheduler has reached the runner. No other change of behaviour; cell_scheduler passed.

--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -153,7 +153,10 @@
  */
 static void runner_replaced(struct scheduler *s, struct cell_runner *rn)
 {
-	scheduler_report_runner(s, DECISION_RUNNER_REPLACED, rn, s->now_ms - rn->answered_ms);
+	/* The entry of a runner that has ended may be listed again. */
+	if (rn->contacted)
+		scheduler_report_runner(s, DECISION_RUNNER_REPLACED, rn,
+					s->now_ms - rn->answered_ms);
 	rn->replaced = true;
 	rn->gone = true;
 	while (rn->runs->len)
