tests: the version of the configuration never goes back

Change: the fake of the discovery test answers for either topic, and a case holds older records after a reload, in a later page and in a removal.

--- a/tests/platform/test_discovery.c
+++ b/tests/platform/test_discovery.c
@@ -10,6 +10,8 @@
 /* Stands for the node of the same name. */
 struct node {
 	GHashTable *known; /* runners by id: 1 for ready, 2 for draining */
+	struct queues *queues;
+	GArray *versions; /* uint64_t, in the order in which they were applied */
 };
 
 int64_t node_now_ms(void)
@@ -19,12 +21,16 @@
 
 const struct queues *node_queues(const struct node *n)
 {
-	return NULL;
+	return n->queues;
 }
 
 void node_configure(struct node *n, struct queues *q)
 {
-	queues_destroy(q);
+	uint64_t version = queues_version(q);
+
+	queues_destroy(n->queues);
+	n->queues = q;
+	g_array_append_val(n->versions, version);
 }
 
 void node_update_runner(struct node *n, const struct runner_info *info)
@@ -37,7 +43,7 @@
 	g_hash_table_remove(n->known, id);
 }
 
-/* What the store answers to the calls of the runners' topic, one after the other. */
+/* What the store answers to the calls of one topic, one after the other. */
 struct answer {
 	bool newest; /* the call that is expected */
 	enum store_result result;
@@ -50,17 +56,13 @@
 };
 
 struct fake {
+	const char *topic;
 	const struct answer *answer;
 	size_t n;
 	size_t next;
 	struct node node;
 };
 
-static gboolean is_runners(const char *topic)
-{
-	return g_str_equal(topic, "keyed.servers");
-}
-
 static void reply(struct fake *f, page_fn fn, void *ctx)
 {
 	const struct answer *a = &f->answer[f->next++];
@@ -76,7 +78,7 @@
 {
 	struct fake *f = impl;
 
-	if (!is_runners(topic) || f->next == f->n)
+	if (!g_str_equal(topic, f->topic) || f->next == f->n)
 		return;
 	cr_expect(f->answer[f->next].newest, "call %zu is a load", f->next);
 	cr_expect_str_eq(after, f->answer[f->next].after);
@@ -88,7 +90,7 @@
 {
 	struct fake *f = impl;
 
-	if (!is_runners(topic) || f->next == f->n)
+	if (!g_str_equal(topic, f->topic) || f->next == f->n)
 		return;
 	cr_expect(!f->answer[f->next].newest, "call %zu is a read", f->next);
 	cr_expect_eq(from, f->answer[f->next].from, "call %zu reads from %" G_GUINT64_FORMAT,
@@ -98,23 +100,41 @@
 
 static const struct store_ops fake_ops = { .newest = fake_newest, .read = fake_read };
 
-/* Runs discovery until all answers are given; returns the runners that the node knows then. */
-static GHashTable *run(const struct answer *answer, size_t n)
+/* Runs discovery until all answers are given; fills the node with what it knows then. */
+static void run(struct fake *f)
 {
-	struct fake f = { .answer = answer, .n = n };
-	struct store store = { .ops = &fake_ops, .impl = &f };
+	struct store store = { .ops = &fake_ops, .impl = f };
 	int64_t end_ms = node_now_ms() + WAIT_MAX_MS;
 	struct discovery *d;
 
-	f.node.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	d = discovery_create(&store, &f.node);
+	f->node.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->node.versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	d = discovery_create(&store, &f->node);
 	discovery_start(d);
 	discovery_follow_runners(d, true);
-	while (f.next < n && node_now_ms() < end_ms)
+	while (f->next < f->n && node_now_ms() < end_ms)
 		g_main_context_iteration(NULL, TRUE);
-	cr_expect_eq(f.next, n, "%zu of %zu answers used", f.next, n);
+	cr_expect_eq(f->next, f->n, "%zu of %zu answers used", f->next, f->n);
 	discovery_destroy(d);
-	return f.node.known;
+}
+
+static void clear(struct fake *f)
+{
+	g_hash_table_unref(f->node.known);
+	g_array_unref(f->node.versions);
+	queues_destroy(f->node.queues);
+}
+
+/* Returns the runners that the node knows after these answers. */
+static GHashTable *run_runners(const struct answer *answer, size_t n)
+{
+	struct fake f = { .topic = "keyed.servers", .answer = answer, .n = n };
+	GHashTable *known;
+
+	run(&f);
+	known = g_hash_table_ref(f.node.known);
+	clear(&f);
+	return known;
 }
 
 static int state_of(GHashTable *known, const char *id)
@@ -154,7 +174,7 @@
 		  .end = 5 },
 		{ .from = 5, .end = 5 },
 	};
-	g_autoptr(GHashTable) known = run(answers, G_N_ELEMENTS(answers));
+	g_autoptr(GHashTable) known = run_runners(answers, G_N_ELEMENTS(answers));
 
 	cr_expect_eq(state_of(known, "i-1"), 2);
 	cr_expect_eq(state_of(known, "i-2"), 1);
@@ -193,9 +213,41 @@
 		{ .from = 9, .rec = { REMOVED(9, "i-1") }, .n = 1, .end = 10 },
 		{ .from = 10, .rec = { RECORD(10, "i-1", "ready") }, .n = 1, .end = 11 },
 	};
-	g_autoptr(GHashTable) known = run(answers, G_N_ELEMENTS(answers));
+	g_autoptr(GHashTable) known = run_runners(answers, G_N_ELEMENTS(answers));
 
 	cr_expect_eq(state_of(known, "i-1"), 1);
 	cr_expect_eq(state_of(known, "i-2"), 0);
 	cr_expect_eq(state_of(known, "i-3"), 2);
 }
+
+#define CONFIG(at, version)                                                                        \
+	{                                                                                          \
+		.offset = (at), .key = "config",                                                   \
+		.value = (const uint8_t *)"{\"version\":" version ",\"routes\":[]}",               \
+		.size = sizeof("{\"version\":" version ",\"routes\":[]}") - 1                      \
+	}
+
+/*
+ * A page may hold older records than were read before, after a reload or from a replica that lags.
+ * A version that was withdrawn must not come back.
+ */
+Test(discovery, version_of_the_configuration_never_goes_back)
+{
+	static const struct answer answers[] = {
+		{ .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		{ .from = 5, .rec = { CONFIG(5, "5"), CONFIG(6, "9") }, .n = 2, .end = 7 },
+		{ .from = 7, .result = STORE_TRIMMED },
+		{ .newest = true, .after = "", .result = STORE_UNKNOWN },
+		{ .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 7 },
+		{ .from = 7, .rec = { CONFIG(7, "9"), CONFIG(8, "12") }, .n = 2, .end = 9 },
+		{ .from = 9, .rec = { REMOVED(9, "config") }, .n = 1, .end = 10 },
+	};
+	static const uint64_t expected[] = { 7, 9, 12 };
+	struct fake f = { .topic = "keyed.op", .answer = answers, .n = G_N_ELEMENTS(answers) };
+
+	run(&f);
+	cr_assert_eq(f.node.versions->len, G_N_ELEMENTS(expected));
+	for (guint i = 0; i < f.node.versions->len; i++)
+		cr_expect_eq(g_array_index(f.node.versions, uint64_t, i), expected[i]);
+	clear(&f);
+}
