--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -57,8 +57,6 @@
 	uint32_t partial_gangs;	       /* gangs whose members did not all start in time */
 	uint32_t starts_after_cancel;  /* starts long after their job was cancelled */
 	uint32_t failed_early; /* jobs that failed before all attempts of a task, or two crashes */
-	uint32_t crashes;      /* of runners, by a task */
-	uint32_t runs_in_crashes; /* of other tasks, that were lost in crashes */
 	uint32_t done;
 	uint32_t failed;
 	uint32_t cancelled;
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -8,14 +8,13 @@
 #define LIST_MAX      500 /* ends in one reply */
 #define WAIT_EXTRA_MS 800
 /* The first reply tells the scheduler of a restart; the second poll carries a higher fence. */
-#define KNOWN_REPLIES	2
-#define HANG_MS		20000
-#define LATE_MIN_MS	2000
-#define LATE_MORE_MS	10000
-#define CRASHED_MS	3000 /* from a crash until the runner answers again */
-#define CRASHED_MORE_MS 600
-#define SLOW_MILLI	20 /* by which a runner's clock is slow, in 1/1000 */
-
+#define KNOWN_REPLIES	     2
+#define HANG_MS		     20000
+#define LATE_MIN_MS	     2000
+#define LATE_MORE_MS	     10000
+#define CRASHED_MS	     3000 /* from a crash until the runner answers again */
+#define CRASHED_MORE_MS	     600
+#define SLOW_MILLI	     20	  /* by which a runner's clock is slow, in 1/1000 */
 #define UNLISTED_MS	     4500 /* until the entry of a crashed runner is removed, at most */
 #define CRASHES_TO_GIVE_UP   2	  /* a task that has crashed so many runners may be given up */
 #define CRASHES_COUNTED	     3	  /* from then on starts are counted */
@@ -247,8 +246,6 @@
 static void crash(struct sim *s, struct sim_runner *r, const struct sim_task *by)
 {
 	history_of(s, by->name)->crashes++;
-	s->result->crashes++;
-	s->result->runs_in_crashes += r->task->len - 1;
 	sim_runner_restart(s, r, CRASHED_MS + sim_pick(s, CRASHED_MORE_MS),
 			   sim_chance(s, s->conf->new_id_milli));
 }
