cell: one check each for a runner's approval and for its ticket

Cause: isolate.c repeated the check for a ticket of step_room.c and that for the approval of reserve.c, and its own copy of when a task waits left out the time before which it may not start, so that candidates were collected for tasks that couldn't be placed yet. Change: pending_step_has_ticket(), pending_step_is_approved() and pending_step_task_waits() serve all.

--- a/packages/cell/process/isolate.c
+++ b/packages/cell/process/isolate.c
@@ -13,13 +13,12 @@
 	return !t->alone_until_ms || t->alone_until_ms > s->now_ms;
 }
 
-bool isolate_wanted(const struct scheduler *s, const struct cell_job *j,
-		    const struct job_step *step)
+bool isolate_wanted(const struct pass *pass, const struct cell_job *j, const struct job_step *step)
 {
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		const struct job_task *t = &j->task[step->first_task + i];
 
-		if (!t->done && !t->live_run && isolate_is_due(s, step, t))
+		if (pending_step_task_waits(pass, t) && isolate_is_due(pass->s, step, t))
 			return true;
 	}
 	return false;
@@ -44,12 +43,6 @@
 	return false;
 }
 
-static bool is_approved(const struct pending_step *ps, const struct cell_runner *rn)
-{
-	return !ps->advised || (ps->step->advice &&
-				advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED);
-}
-
 /* Returns a runner without runs on which the task may start now, NULL if there is none. */
 static struct cell_runner *find_empty(const struct pass *pass, const struct pending_step *ps,
 				      const struct job_task *t)
@@ -58,10 +51,7 @@
 		struct cell_runner *rn = ps->candidates->pdata[i];
 
 		if (rn->runs->len == 0 && !rn->kept_empty && rn->host != t->crash_host &&
-		    pending_step_fits(ps, rn) &&
-		    (!ps->advised ||
-		     (ps->step->advice && advice_ticket(ps->step->advice, rn->handle,
-							pass->s->now_ms + ORDER_MARGIN_MS))))
+		    pending_step_fits(ps, rn) && pending_step_has_ticket(pass, ps, rn))
 			return rn;
 	}
 	return NULL;
@@ -76,7 +66,7 @@
 		struct cell_runner *rn = ps->candidates->pdata[i];
 
 		if (rn->kept_empty || rn->alone || rn->host == t->crash_host ||
-		    !is_approved(ps, rn) || has_lasting_run(rn))
+		    !pending_step_is_approved(ps, rn) || has_lasting_run(rn))
 			continue;
 		if (!best || rn->runs->len < best->runs->len)
 			best = rn;
--- a/packages/cell/process/isolate.h
+++ b/packages/cell/process/isolate.h
@@ -15,8 +15,7 @@
 bool isolate_is_due(const struct scheduler *s, const struct job_step *step,
 		    const struct job_task *t);
 /* isolate_wanted - true if a waiting task of the step has to run alone. */
-bool isolate_wanted(const struct scheduler *s, const struct cell_job *j,
-		    const struct job_step *step);
+bool isolate_wanted(const struct pass *pass, const struct cell_job *j, const struct job_step *step);
 /* isolate_place - places the waiting tasks of the step that have to run alone. */
 void isolate_place(struct pass *pass, const struct pending_step *ps);
 
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -98,6 +98,18 @@
 	return score;
 }
 
+bool pending_step_is_approved(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	return !ps->advised || advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED;
+}
+
+bool pending_step_has_ticket(const struct pass *pass, const struct pending_step *ps,
+			     const struct cell_runner *rn)
+{
+	return !ps->advised ||
+	       advice_ticket(ps->step->advice, rn->handle, pass->s->now_ms + ORDER_MARGIN_MS);
+}
+
 bool pending_step_task_waits(const struct pass *pass, const struct job_task *task)
 {
 	return !task->done && !task->live_run && task->not_before_ms <= pass->s->now_ms;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -54,6 +54,12 @@
 uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max);
 /* pending_step_score - lower is better: the preferred rack first, then the tightest fit. */
 int64_t pending_step_score(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_is_approved - true if no advice is needed, or the advisor has approved the runner.
+ */
+bool pending_step_is_approved(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_has_ticket - as is_approved, with a ticket that outlasts the start order. */
+bool pending_step_has_ticket(const struct pass *pass, const struct pending_step *ps,
+			     const struct cell_runner *rn);
 /* pending_step_task_waits - true if the task could start now, were there room. */
 bool pending_step_task_waits(const struct pass *pass, const struct job_task *task);
 /* pending_step_place - plans a run of the task on the runner, which has to have room. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -387,7 +387,7 @@
 			continue;
 		for (uint32_t k = 0; k < j->n_step; k++)
 			if (step_waits(pass, j, &j->step[k]) &&
-			    isolate_wanted(pass->s, j, &j->step[k]))
+			    isolate_wanted(pass, j, &j->step[k]))
 				place_step(pass, j, &j->step[k], isolate_place);
 	}
 }
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -65,8 +65,7 @@
 	for (guint i = 0; i < ps->candidates->len; i++) {
 		struct cell_runner *rn = ps->candidates->pdata[i];
 
-		if (!ps->advised ||
-		    advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
+		if (pending_step_is_approved(ps, rn))
 			g_ptr_array_add(out, rn);
 	}
 	return out;
--- a/packages/cell/process/step_room.c
+++ b/packages/cell/process/step_room.c
@@ -12,13 +12,6 @@
 	GArray *place; /* of struct place, in the order of the candidates */
 };
 
-static bool has_ticket(const struct pass *pass, const struct pending_step *ps,
-		       const struct cell_runner *rn)
-{
-	return !ps->advised ||
-	       advice_ticket(ps->step->advice, rn->handle, pass->s->now_ms + ORDER_MARGIN_MS);
-}
-
 struct step_room *step_room_create(const struct pass *pass, const struct pending_step *ps,
 				   const char *rack, bool ticketed)
 {
@@ -37,7 +30,7 @@
 			continue;
 		if (rack && g_strcmp0(place.runner->rack, rack) != 0)
 			continue;
-		if (ticketed && !has_ticket(pass, ps, place.runner))
+		if (ticketed && !pending_step_has_ticket(pass, ps, place.runner))
 			continue;
 		place.score = pending_step_score(ps, place.runner);
 		place.spread_left = pending_step_spread_left(ps, place.runner);
