platform, cell: teams and their keys; calls without a known key are refused

Cause: configurations may name teams with keys, which the code ignored, so calls with unknown and withdrawn keys were served.

Change: a version of the configuration holds its teams (version/teams); version/access decides whether a call may be served, from its key and from the age of the configuration. Jobs carry their team (Job.team), and only that team may query, repeat or cancel them. Configurations without teams are served as before.

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 
+#include "request/resources.h"
+
 /*
  * cell_runner - the scheduler's view of a runner: its capacity, the runs that may exist there and
  * the lease that covers them.
@@ -18,12 +20,6 @@
 #define RUNNER_CLOCK_DRIFT_MILLI 20  /* 2%: the platform's bound for a runner's monotonic clock */
 #define RUNNER_LEASE_SLACK_MS	 100 /* timer slack and rounding at the end of a lease */
 
-struct resources {
-	int64_t cpu_milli;
-	int64_t mem_bytes;
-	int64_t accel;
-};
-
 /* A runner as listed by the platform. The strings belong to the caller. */
 struct runner_info {
 	const char *id;
@@ -149,16 +145,6 @@
 /* cell_runner_detach_run - removes the run, which the caller then owns. */
 void cell_runner_detach_run(struct cell_runner *rn, struct run *r);
 
-void resources_add(struct resources *to, const struct resources *what);
-void resources_sub(struct resources *from, const struct resources *what);
-
-/* Inline: called for each runner and step in each placement pass. */
-static inline bool resources_fits(const struct resources *need, const struct resources *free)
-{
-	return need->cpu_milli <= free->cpu_milli && need->mem_bytes <= free->mem_bytes &&
-	       need->accel <= free->accel;
-}
-
 /* cell_runner_free_capacity - capacity that is neither used nor reserved. */
 static inline struct resources cell_runner_free_capacity(const struct cell_runner *rn)
 {
--- a/packages/cell/version/queues.c
+++ b/packages/cell/version/queues.c
@@ -6,6 +6,7 @@
 	uint64_t version;
 	GPtrArray *queue;
 	GPtrArray *pool;
+	struct teams *teams;
 };
 
 static void queue_free(gpointer data)
@@ -43,6 +44,7 @@
 		return;
 	g_ptr_array_unref(q->queue);
 	g_ptr_array_unref(q->pool);
+	teams_destroy(q->teams);
 	g_free(q);
 }
 
@@ -70,6 +72,17 @@
 	g_ptr_array_add(q->pool, copy);
 }
 
+void queues_set_teams(struct queues *q, struct teams *t)
+{
+	teams_destroy(q->teams);
+	q->teams = t;
+}
+
+const struct teams *queues_teams(const struct queues *q)
+{
+	return q->teams;
+}
+
 /* Compares the host without its port, ignoring case. */
 static bool host_matches(const struct queue *q, const char *host)
 {
--- a/packages/cell/version/queues.h
+++ b/packages/cell/version/queues.h
@@ -6,9 +6,11 @@
 
 #include <glib.h>
 
+#include "version/teams.h"
+
 /*
- * queues - one version of the configuration: the queues that jobs are submitted to, and the pools
- * of runners that serve them. Immutable once it is in use.
+ * queues - one version of the configuration: the queues that jobs are submitted to, the pools of
+ * runners that serve them, and the teams that own the jobs. Immutable once it is in use.
  */
 struct queue {
 	char *name;
@@ -21,6 +23,7 @@
 	uint32_t stretch_milli;
 	uint32_t objective_ms;
 	uint32_t timeout_ms;
+	bool public_access;	       /* calls need no key */
 	bool advised;		       /* the advisor has to approve each runner of a step */
 	uint32_t advice_base_us;       /* base cost of a request to the advisor */
 	uint32_t advice_per_runner_us; /* additional cost of each runner in it */
@@ -40,6 +43,10 @@
 /* queues_add, queues_add_pool - add a copy; only before the version is in use. */
 void queues_add(struct queues *q, const struct queue *queue);
 void queues_add_pool(struct queues *q, const struct pool *pool);
+/* queues_set_teams - takes ownership of t; only before the version is in use. */
+void queues_set_teams(struct queues *q, struct teams *t);
+/* queues_teams - NULL if the configuration has no teams, so that no call needs a key. */
+const struct teams *queues_teams(const struct queues *q);
 /*
  * queues_route - finds the queue by host and longest prefix of the path; NULL if there is none.
  * *rest is the path after the prefix.
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -371,7 +371,10 @@
 
 bool node_ready(const struct node *n)
 {
-	return n->queues && !n->stopping && joblog_loaded(n->log) && !joblog_store_down(n->log);
+	return n->queues && !n->stopping && joblog_loaded(n->log) && !joblog_store_down(n->log) &&
+	       (!queues_teams(n->queues) ||
+		access_is_confirmed(n->config_confirmed_ms, n->conf.config_max_age_ms,
+				    node_now_ms()));
 }
 
 void node_configure(struct node *n, struct queues *q)
@@ -391,6 +394,36 @@
 	return n->queues;
 }
 
+void node_config_confirmed(struct node *n, int64_t as_of_ms)
+{
+	n->config_confirmed_ms = MAX(n->config_confirmed_ms, as_of_ms);
+}
+
+int64_t node_config_age_ms(const struct node *n)
+{
+	return node_now_ms() - n->config_confirmed_ms;
+}
+
+enum access_result node_check_access(const struct node *n, const struct queue *queue,
+				     const char *key, const struct team **team)
+{
+	const struct access_request req = { .queues = n->queues,
+					    .queue = queue,
+					    .key = key,
+					    .confirmed_ms = n->config_confirmed_ms,
+					    .now_ms = node_now_ms(),
+					    .max_age_ms = n->conf.config_max_age_ms };
+
+	return access_check(&req, team);
+}
+
+const char *node_job_team(const struct node *n, const char *id)
+{
+	const struct cell_job *j = job_table_find(joblog_job_table(n->log), id);
+
+	return j ? j->spec->team : NULL;
+}
+
 void node_update_runner(struct node *n, const struct runner_info *info)
 {
 	if (!n->scheduler)
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -5,6 +5,7 @@
 #include "process/metrics.h"
 #include "process/status.h"
 #include "request/intake.h"
+#include "version/access.h"
 
 /*
  * node - one process of a cell whose state is kept in a store. Every node serves callers; the one
@@ -19,6 +20,8 @@
 	uint16_t link_port;
 	uint32_t cpu_milli; /* CPU capacity of this VM in thousandths of a core */
 	struct scheduler_conf scheduler;
+	/* Keys are accepted while the configuration was confirmed within this time; 0: always. */
+	uint32_t config_max_age_ms;
 	struct metrics *metrics; /* outlives the node */
 };
 
@@ -38,8 +41,8 @@
 /* node_stopped - whether the handover that node_stop() began is complete. */
 bool node_stopped(const struct node *n);
 /*
- * node_ready - whether it can accept jobs: it has a configuration, has read the job log, reaches
- * the store and is not stopping.
+ * node_ready - whether it can accept jobs: it has a configuration that it may use for keys, has
+ * read the job log, reaches the store and is not stopping.
  */
 bool node_ready(const struct node *n);
 
@@ -47,6 +50,18 @@
 void node_configure(struct node *n, struct queues *q);
 /* node_queues - the current configuration, NULL until there is one. */
 const struct queues *node_queues(const struct node *n);
+/*
+ * node_config_confirmed - the configuration in use was the newest one at as_of_ms, which is before
+ * the read that proves it was sent.
+ */
+void node_config_confirmed(struct node *n, int64_t as_of_ms);
+/* node_check_access - see access_check(); needs a configuration. */
+enum access_result node_check_access(const struct node *n, const struct queue *queue,
+				     const char *key, const struct team **team);
+/* node_config_age_ms - time since the configuration was last confirmed. */
+int64_t node_config_age_ms(const struct node *n);
+/* node_job_team - team of a job that this node knows, "" for none; NULL if it doesn't know it. */
+const char *node_job_team(const struct node *n, const char *id);
 /* node_update_runner, node_remove_runner - ignored unless this node is the scheduler. */
 void node_update_runner(struct node *n, const struct runner_info *info);
 void node_remove_runner(struct node *n, const char *id);
--- a/packages/node/process/node_priv.h
+++ b/packages/node/process/node_priv.h
@@ -26,6 +26,7 @@
 	struct relay *relay;
 	struct intake *intake;
 	struct queues *queues;
+	int64_t config_confirmed_ms; /* the configuration was current then */
 	struct scheduler *scheduler;
 	uint64_t term;
 	uint64_t next_call;
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1301,7 +1301,7 @@
   (ProtobufCMessageInit) cell__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cell__job__field_descriptors[15] =
 {
   {
     "id",
@@ -1471,6 +1471,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__Job, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__job__field_indices_by_name[] = {
   8,   /* field[8] = accepted_ms */
@@ -1487,11 +1499,12 @@
   2,   /* field[2] = service */
   4,   /* field[4] = step */
   11,   /* field[11] = stretch_milli */
+  14,   /* field[14] = team */
 };
 static const ProtobufCIntRange cell__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cell__job__descriptor =
 {
@@ -1501,7 +1514,7 @@
   "Cell__Job",
   "cell",
   sizeof(Cell__Job),
-  14,
+  15,
   cell__job__field_descriptors,
   cell__job__field_indices_by_name,
   1,  cell__job__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -100,10 +100,14 @@
   uint32_t stretch_milli;
   uint32_t objective_ms;
   protobuf_c_boolean advised;
+  /*
+   * Team that owns the job; empty if it came through a queue with public access.
+   */
+  char *team;
 };
 #define CELL__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Cell__TaskProgress
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -146,6 +146,37 @@
 	queues_destroy(q);
 }
 
+Test(decode, teams_of_a_configuration)
+{
+	const char *text = "{\"version\":7,\"routes\":["
+			   "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/p/"
+			   "\",\"service\":\"s\",\"public\":true},"
+			   "{\"name\":\"b\",\"host\":\"h\",\"prefix\":\"/q/"
+			   "\",\"service\":\"s\",\"public\":false}],"
+			   "\"tenants\":[{\"name\":\"t\",\"keys\":[\"k1\",7,\"k2\"],\"priority\":1,"
+			   "\"weight\":31,"
+			   "\"cap\":{\"cpu\":8000,\"mem-mb\":2,\"gpu\":3}},"
+			   "{\"name\":\"u\",\"keys\":[]},{\"keys\":[\"k3\"]},5]}";
+	const char *error;
+	struct queues *q = decode_queues(text, strlen(text), &error);
+	const struct teams *teams = queues_teams(q);
+
+	cr_assert_not_null(teams);
+	cr_expect(queues_find(q, "a")->public_access);
+	cr_expect_not(queues_find(q, "b")->public_access);
+	cr_assert_eq(teams_count(teams), 2, "a team without a name is left out");
+	cr_assert_not_null(teams_by_key(teams, "k2"));
+	cr_expect_str_eq(teams_by_key(teams, "k2")->name, "t");
+	cr_expect_eq(teams_by_key(teams, "k1")->weight, 31);
+	cr_expect_eq(teams_by_key(teams, "k1")->cap.cpu_milli, 8000);
+	cr_expect_eq(teams_by_key(teams, "k1")->cap.mem_bytes, 2 * 1048576);
+	cr_expect_eq(teams_by_key(teams, "k1")->cap.accel, 3);
+	cr_expect_eq(teams_find(teams, "u")->cap.cpu_milli, 0, "no limit");
+	cr_expect_null(teams_by_key(teams, "k3"));
+	cr_expect_null(teams_by_key(teams, "t"));
+	queues_destroy(q);
+}
+
 struct job_case {
 	const char *name;
 	const char *text;
@@ -173,8 +204,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const char *error = NULL;
-		Cell__Job *job =
-			decode_job(ID, &queue, cases[i].text, strlen(cases[i].text), 1, &error);
+		Cell__Job *job = decode_job(ID, &queue, NULL, cases[i].text, strlen(cases[i].text),
+					    1, &error);
 
 		cr_expect_eq(job != NULL, cases[i].valid, "%s", cases[i].name);
 		cr_expect_eq(error == NULL, cases[i].valid, "%s", cases[i].name);
@@ -191,6 +222,6 @@
 		g_strdup_printf("{\"spec\":\"%s\",\"steps\":[{\"count\":1}]}", long_text);
 	const char *error = NULL;
 
-	cr_assert_null(decode_job(ID, &queue, text, strlen(text), 1, &error));
+	cr_assert_null(decode_job(ID, &queue, NULL, text, strlen(text), 1, &error));
 	cr_assert_not_null(error);
 }
--- a/tests/platform/test_discovery.c
+++ b/tests/platform/test_discovery.c
@@ -12,6 +12,8 @@
 	GHashTable *known; /* runners by id: 1 for ready, 2 for draining */
 	struct queues *queues;
 	GArray *versions; /* uint64_t, in the order in which they were applied */
+	guint confirmed;  /* number of times that the configuration was confirmed */
+	int64_t confirmed_ms;
 };
 
 int64_t node_now_ms(void)
@@ -33,6 +35,12 @@
 	g_array_append_val(n->versions, version);
 }
 
+void node_config_confirmed(struct node *n, int64_t as_of_ms)
+{
+	n->confirmed++;
+	n->confirmed_ms = as_of_ms;
+}
+
 void node_update_runner(struct node *n, const struct runner_info *info)
 {
 	g_hash_table_insert(n->known, g_strdup(info->id), GINT_TO_POINTER(info->draining ? 2 : 1));
@@ -53,6 +61,7 @@
 	size_t n;
 	uint64_t end; /* of the log */
 	bool more;
+	uint32_t takes_ms; /* until the answer */
 };
 
 struct fake {
@@ -70,6 +79,7 @@
 		.record = a->rec, .n = a->n, .next_offset = a->end, .more = a->more
 	};
 
+	g_usleep((gulong)a->takes_ms * 1000);
 	fn(ctx, a->result, a->result == STORE_OK ? &page : NULL);
 }
 
@@ -251,3 +261,92 @@
 		cr_expect_eq(g_array_index(f.node.versions, uint64_t, i), expected[i]);
 	clear(&f);
 }
+
+#define UNREADABLE(at)                                                                             \
+	{                                                                                          \
+		.offset = (at), .key = "config", .value = (const uint8_t *)"{}", .size = 2         \
+	}
+
+struct confirm_case {
+	const char *name;
+	struct answer answer[6];
+	size_t n;
+	guint confirmed;
+};
+
+/*
+ * A node that takes its configuration for current while a newer one waits to be read serves keys
+ * that were withdrawn.
+ */
+Test(discovery, configuration_is_confirmed_by_what_was_read_to_the_end)
+{
+	static const struct confirm_case cases[] = {
+		{ "a load and an empty read",
+		  { { .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		    { .from = 5, .end = 5 } },
+		  2,
+		  2 },
+		{ "a load in two pages is over with the second",
+		  { { .newest = true,
+		      .after = "",
+		      .rec = { CONFIG(4, "7") },
+		      .n = 1,
+		      .end = 5,
+		      .more = true },
+		    { .newest = true, .after = "config", .result = STORE_UNKNOWN } },
+		  2,
+		  0 },
+		{ "a page that ends before the log does",
+		  { { .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		    { .from = 5, .rec = { CONFIG(5, "8") }, .n = 1, .end = 9 },
+		    { .from = 6, .result = STORE_REFUSED } },
+		  3,
+		  1 },
+		{ "calls without an answer",
+		  { { .newest = true, .after = "", .result = STORE_UNKNOWN },
+		    { .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		    { .from = 5, .result = STORE_UNKNOWN },
+		    { .from = 5, .result = STORE_REFUSED } },
+		  4,
+		  1 },
+		{ "a dropped history until it is loaded again",
+		  { { .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		    { .from = 5, .result = STORE_TRIMMED },
+		    { .newest = true, .after = "", .result = STORE_UNKNOWN } },
+		  3,
+		  1 },
+		{ "a newest record that can't be read, until the next one",
+		  { { .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		    { .from = 5, .rec = { UNREADABLE(5) }, .n = 1, .end = 6 },
+		    { .from = 6, .end = 6 },
+		    { .from = 6, .rec = { CONFIG(6, "9") }, .n = 1, .end = 7 } },
+		  4,
+		  2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake f = { .topic = "keyed.op", .answer = cases[i].answer, .n = cases[i].n };
+
+		run(&f);
+		cr_expect_eq(f.node.confirmed, cases[i].confirmed, "%s: confirmed %u times",
+			     cases[i].name, f.node.confirmed);
+		clear(&f);
+	}
+}
+
+/* The reply to a long poll that is under way for seconds says nothing of what came after the call.
+ */
+Test(discovery, confirmation_counts_from_the_call)
+{
+	static const struct answer answers[] = {
+		{ .newest = true, .after = "", .rec = { CONFIG(4, "7") }, .n = 1, .end = 5 },
+		{ .from = 5, .end = 5, .takes_ms = 300 },
+	};
+	struct fake f = { .topic = "keyed.op", .answer = answers, .n = G_N_ELEMENTS(answers) };
+	int64_t end_ms;
+
+	run(&f);
+	end_ms = node_now_ms();
+	cr_expect_leq(f.node.confirmed_ms, end_ms - 300);
+	clear(&f);
+}
--- a/tests/platform/test_vmsettings.c
+++ b/tests/platform/test_vmsettings.c
@@ -42,9 +42,35 @@
 	cr_assert_eq(s->lease_max_ms, 6000);
 	cr_assert_eq(s->grace_ms, 2500);
 	cr_assert_eq(s->stop_max_ms, 900, "default for a missing key");
+	cr_assert_eq(s->revoke_max_ms, 0, "no limit unless it is asked for");
 	vm_settings_destroy(s);
 }
 
+struct revoke_case {
+	const char *lines;
+	uint32_t revoke_max_ms;
+};
+
+Test(vmsettings, limit_for_withdrawn_keys)
+{
+	static const struct revoke_case cases[] = {
+		{ "bounds.revoke-ms=4000\n", 0 },
+		{ "bounds.strict-revoke=false\nbounds.revoke-ms=4000\n", 0 },
+		{ "bounds.strict-revoke=true\nbounds.revoke-ms=4000\n", 4000 },
+		{ "bounds.strict-revoke=true\n", 5000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat(COMPLETE, cases[i].lines, NULL);
+		struct vm_settings *s = NULL;
+		struct status st = STATUS_INIT;
+
+		cr_assert(read_text(text, &s, &st), "%s: %s", cases[i].lines, st.message);
+		cr_expect_eq(s->revoke_max_ms, cases[i].revoke_max_ms, "%s", cases[i].lines);
+		vm_settings_destroy(s);
+	}
+}
+
 struct invalid_case {
 	const char *line;
 	const char *key; /* has to be in the message */
@@ -58,6 +84,7 @@
 		{ "listen.ready=10.1.0.30:many", "listen.ready" },
 		{ "listen.ready=10.1.0.30:70000", "listen.ready" },
 		{ "port-range=7380", "port-range" },
+		{ "bounds.strict-revoke=maybe", "bounds.strict-revoke" },
 		{ "port-range=7380,7380", "port-range" },
 		{ "bounds.hold-max-ms=soon", "bounds.hold-max-ms" },
 		{ "bounds.stop-ms=-5", "bounds.stop-ms" },
