cell: caps limit what a team has running

Cause: a team could fill the cell with its tasks, as its cap was read from the configuration but not used.

Change: team_use sums up the runs of each team that may exist, from the plan until the scheduler drops the run, and decides what may start on top of them. Placement asks it for each step. A step that only its cap holds back reserves no room, preempts nothing, asks for no advice and isn't "without room"; its need is held against later steps of its team, so that gangs and large tasks don't starve behind small ones.

--- a/packages/cell/process/isolate.c
+++ b/packages/cell/process/isolate.c
@@ -91,15 +91,17 @@
 
 void isolate_place(struct pass *pass, const struct pending_step *ps)
 {
+	uint32_t left = ps->cap_left;
 	bool asked = false;
 
-	for (uint32_t i = 0; i < ps->step->spec->count; i++) {
+	for (uint32_t i = 0; i < ps->step->spec->count && left; i++) {
 		uint32_t number = ps->step->first_task + i;
 		struct job_task *t = &ps->job->task[number];
 		struct cell_runner *rn;
 
 		if (!pending_step_task_waits(pass, t) || !isolate_is_due(pass->s, ps->step, t))
 			continue;
+		left--;
 		if (!t->alone_until_ms)
 			t->alone_until_ms = pass->s->now_ms + ISOLATE_WAIT_MS;
 		rn = find_empty(pass, ps, t);
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -36,6 +36,7 @@
 	struct resources need;
 	bool advised;
 	bool large; /* a task needs much of a runner, so room for it seldom appears by itself */
+	uint32_t cap_left;	 /* tasks that the team's cap allows; of a gang all or none */
 	uint32_t headroom_milli; /* share of a runner, in 1/1000, to leave free */
 };
 
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -132,11 +132,33 @@
 	return step_room_best(room, avoid);
 }
 
+/* Need of a gang, or of one task of another step. */
+static uint32_t tasks_at_once(const struct pending_step *ps)
+{
+	return ps->step->spec->gang ? ps->step->spec->count : 1;
+}
+
+/* Later steps of the team must not use what its cap has left for this one. */
+static void hold_cap(const struct pass *pass, const struct pending_step *ps)
+{
+	struct resources need = team_use_need(ps->step->spec);
+
+	team_use_hold(pass->s->team_use, ps->job->spec->team, &need, tasks_at_once(ps));
+}
+
+static void count_held_back(struct pass *pass, const struct pending_step *ps, uint32_t tasks)
+{
+	pass->s->stats.tasks_held_back += tasks;
+	team_use_count_held_back(pass->s->team_use, ps->job->spec->team, tasks);
+}
+
 static void place_tasks(struct pass *pass, const struct pending_step *ps)
 {
 	struct step_room *room = step_room_create(pass, ps, NULL, true);
 	const Cell__Step *spec = ps->step->spec;
+	uint32_t left = ps->cap_left;
 	uint32_t waiting = 0;
+	uint32_t held_back = 0;
 	bool possible = false;
 	bool first = true; /* one check of `possible` holds for all tasks that avoid no runner */
 
@@ -147,6 +169,11 @@
 
 		if (!pending_step_task_waits(pass, task) || isolate_is_due(pass->s, ps->step, task))
 			continue;
+		if (left == 0) {
+			held_back++;
+			continue;
+		}
+		left--;
 		rn = find_room(pass, ps, room, task);
 		if (rn) {
 			pending_step_place(pass, ps, ps->step->first_task + i, rn);
@@ -162,6 +189,9 @@
 	pass->s->stats.waiting_tasks += waiting;
 	if (waiting && !ps->advised)
 		ps->pool->unplaced_in_row++;
+	count_held_back(pass, ps, held_back);
+	if (held_back && ps->candidates->len)
+		hold_cap(pass, ps);
 	if (!waiting)
 		return;
 	if (ps->advised)
@@ -170,6 +200,8 @@
 		reserve_for_advice(ps, waiting);
 	else if (!possible && ps->large)
 		make_room(pass, ps, waiting);
+	if (!possible && ps->large && ps->candidates->len)
+		hold_cap(pass, ps);
 }
 
 /* Finds runners for all members in rack (NULL for any); reserves nothing. */
@@ -312,6 +344,7 @@
 		advice_request_send(pass, ps, possible);
 	if (crowded)
 		return;
+	hold_cap(pass, ps);
 	reserved = (!possible && reserve_by_preemption(pass, ps, spec->count)) ||
 		   (ps->advised && reserve_on_approved(ps, spec->count)) ||
 		   reserve_on_freest(ps, spec->count);
@@ -344,30 +377,96 @@
 		place_tasks(pass, ps);
 }
 
+/* Tasks of the step that its team's cap allows now; of a gang all or none. */
+static uint32_t cap_left(const struct pass *pass, const struct pending_step *ps)
+{
+	const Cell__Step *spec = ps->step->spec;
+	const char *team = ps->job->spec->team;
+	struct resources need = team_use_need(spec);
+	struct team_limit limit;
+
+	if (!scheduler_team_limit(pass->s, ps->job, &limit))
+		return UINT32_MAX;
+	if (!spec->gang)
+		return team_use_room(pass->s->team_use, team, &limit, &need, spec->count);
+	return team_use_allows_gang(pass->s->team_use, team, &limit, &need, spec->count)
+		       ? spec->count
+		       : 0;
+}
+
+static void collect_candidates(const struct pass *pass, const struct pending_step *ps)
+{
+	pass->s->stats.examined += ps->pool->runners->len;
+	for (guint i = 0; i < ps->pool->runners->len; i++)
+		if (pending_step_can_use(ps, ps->pool->runners->pdata[i]))
+			g_ptr_array_add(ps->candidates, ps->pool->runners->pdata[i]);
+}
+
+/* Whether the step could start if its team and its pool ran nothing else. */
+static bool could_run(const struct pass *pass, const struct pending_step *ps)
+{
+	const Cell__Step *spec = ps->step->spec;
+	struct resources need = team_use_need(spec);
+	struct team_limit limit;
+
+	if (!spec->gang)
+		return ps->candidates->len > 0;
+	return scheduler_team_limit(pass->s, ps->job, &limit) &&
+	       team_use_can_hold(&limit, &need, spec->count) && can_ever_be_held(ps);
+}
+
+/* A step that has to wait until its team uses less. */
+static void wait_for_cap(struct pass *pass, struct pending_step *ps)
+{
+	const struct job_step *step = ps->step;
+	struct resources need = team_use_need(step->spec);
+	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+
+	/* A gang starts when all of its earlier runs have ended. */
+	if (step->spec->gang && step->live_runs)
+		return;
+	count_held_back(pass, ps, step->spec->count - step->done - step->live_runs);
+	if (team_use_holds(pass->s->team_use, ps->job->spec->team, &need, tasks_at_once(ps)))
+		return;
+	ps->candidates = candidates;
+	collect_candidates(pass, ps);
+	if (could_run(pass, ps))
+		hold_cap(pass, ps);
+}
+
+static void place_on_candidates(struct pass *pass, struct pending_step *ps, place_fn fn)
+{
+	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+
+	ps->candidates = candidates;
+	ps->headroom_milli = headroom_milli(ps->job, pass->s->queues, pass->s->wall_ms);
+	collect_candidates(pass, ps);
+	ps->large = is_large(ps);
+	fn(pass, ps);
+}
+
 static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step, place_fn fn)
 {
 	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
 	struct pending_step ps = { .job = j, .step = step, .queue = q };
-	g_autoptr(GPtrArray) candidates = NULL;
 
 	ps.pool = g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
 	if (!ps.pool || ps.pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX)
 		return;
 	ps.advised = q ? q->advised : j->spec->advised;
+	ps.need = scheduler_step_resources(step->spec);
+	ps.cap_left = cap_left(pass, &ps);
+	if (ps.cap_left == 0) {
+		if (fn == place_any)
+			wait_for_cap(pass, &ps);
+		return;
+	}
 	if (ps.advised && advice_request_is_blocked(pass->s, &ps)) {
 		pass->s->stats.waiting_tasks += step->spec->count;
 		pass->s->stats.steps_advice_deferred++;
 		return;
 	}
-	ps.need = scheduler_step_resources(step->spec);
-	ps.candidates = candidates = g_ptr_array_new();
-	ps.headroom_milli = headroom_milli(j, pass->s->queues, pass->s->wall_ms);
-	pass->s->stats.examined += ps.pool->runners->len;
-	for (guint i = 0; i < ps.pool->runners->len; i++)
-		if (pending_step_can_use(&ps, ps.pool->runners->pdata[i]))
-			g_ptr_array_add(candidates, ps.pool->runners->pdata[i]);
-	ps.large = is_large(&ps);
-	fn(pass, &ps);
+	place_on_candidates(pass, &ps, fn);
 }
 
 static bool step_waits(const struct pass *pass, const struct cell_job *j,
@@ -435,6 +534,8 @@
 	s->stats.steps_awaiting_advice = 0;
 	s->stats.steps_advice_deferred = 0;
 	s->stats.gangs_waiting = 0;
+	s->stats.tasks_held_back = 0;
+	team_use_begin_pass(s->team_use);
 	place_isolated(&pass);
 	for (guint i = 0; i < s->open_jobs->len; i++)
 		place_job(&pass, s->open_jobs->pdata[i]);
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -179,7 +179,7 @@
 	r->confirmed_ms = s->now_ms;
 	r->listed = true;
 	cell_runner_add_run(rn, r);
-	runs_attach(j, r);
+	runs_attach(s, j, r);
 	j->task[task].last_run = MAX(j->task[task].last_run, run_number);
 	scheduler_mark_dirty(s, j);
 	scheduler_job_changed(s, j, s->now_ms);
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -8,11 +8,19 @@
 #define START_ORDERS_MAX      3	  /* unanswered starts of a run, after which it is stopped */
 #define REFUSED_RETRY_MS      50  /* before a refused task is placed again */
 
-void runs_attach(struct cell_job *j, struct run *r)
+static struct resources team_need(const struct run *r)
 {
+	return team_use_need(cell_job_step_of(r->job, r->task)->spec);
+}
+
+void runs_attach(struct scheduler *s, struct cell_job *j, struct run *r)
+{
+	struct resources need = team_need(r);
+
 	j->task[r->task].live_run = r;
 	cell_job_step_of(j, r->task)->live_runs++;
 	j->live_runs++;
+	team_use_add(s->team_use, j->spec->team, &need);
 }
 
 struct resources scheduler_step_resources(const Cell__Step *spec)
@@ -43,7 +51,7 @@
 	j->task[task].alone_until_ms = 0;
 	r->ticket = g_strdup(ticket);
 	cell_runner_add_run(rn, r);
-	runs_attach(j, r);
+	runs_attach(s, j, r);
 	g_ptr_array_add(s->planned_runs, r);
 	scheduler_mark_dirty(s, j);
 	return r;
@@ -52,11 +60,13 @@
 void scheduler_drop_run(struct scheduler *s, struct run *r)
 {
 	struct cell_job *j = r->job;
+	struct resources need = team_need(r);
 
 	g_ptr_array_remove_fast(s->planned_runs, r);
 	j->task[r->task].live_run = NULL;
 	cell_job_step_of(j, r->task)->live_runs--;
 	j->live_runs--;
+	team_use_remove(s->team_use, j->spec->team, &need);
 	scheduler_mark_dirty(s, j);
 	cell_runner_free_run(r->runner, r);
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -101,7 +101,7 @@
 	r->state = RUN_UNCONFIRMED;
 	r->inherited = true;
 	cell_runner_add_run(rn, r);
-	runs_attach(j, r);
+	runs_attach(s, j, r);
 	/* An earlier run has finished the task. */
 	if (j->task[t->task].done)
 		scheduler_stop_run(s, r);
@@ -136,6 +136,36 @@
 	return !resources_fits(&rn->used, &rn->capacity);
 }
 
+bool scheduler_team_limit(const struct scheduler *s, const struct cell_job *j,
+			  struct team_limit *limit)
+{
+	const struct teams *teams = s->queues ? queues_teams(s->queues) : NULL;
+	const struct team *team;
+
+	if (!teams || !*j->spec->team)
+		return false;
+	team = teams_find(teams, j->spec->team);
+	if (!team)
+		return false;
+	*limit = (struct team_limit){ .cap = team->cap, .over_milli = s->conf.quota_over_milli };
+	return true;
+}
+
+/* The cap may have been lowered since the run was planned. */
+static bool exceeds_cap(struct scheduler *s, const struct run *r)
+{
+	const struct job_step *step = cell_job_step_of(r->job, r->task);
+	struct resources need = team_use_need(step->spec);
+	struct team_limit limit;
+
+	if (!scheduler_team_limit(s, r->job, &limit) ||
+	    team_use_confirms(s->team_use, r->job->spec->team, &limit, &need,
+			      step->spec->gang ? step->live_runs : 1))
+		return false;
+	scheduler_report_run(s, DECISION_CAP_LOWERED, r);
+	return true;
+}
+
 /* Sends the starts whose intent and job are stored. */
 static void send_planned(struct scheduler *s)
 {
@@ -147,7 +177,7 @@
 		g_ptr_array_remove_index_fast(s->planned_runs, i - 1);
 		if (r->stopping || !scheduler_can_use_runner(s, r->runner) ||
 		    exceeds_capacity(r->runner) || ticket_expires(s, r) ||
-		    s->now_ms > s->grant_until_ms)
+		    s->now_ms > s->grant_until_ms || exceeds_cap(s, r))
 			runs_requeue(s, r, 0);
 		else
 			runs_send_start(s, r);
@@ -214,6 +244,7 @@
 	s->dirty_jobs = g_ptr_array_new();
 	s->begun_jobs = g_ptr_array_new();
 	s->planned_runs = g_ptr_array_new();
+	s->team_use = team_use_create();
 	job_table_each(jobs, inherit_job, s);
 	return s;
 }
@@ -237,6 +268,7 @@
 	if (!s)
 		return;
 	job_table_each(s->jobs, detach_job, NULL);
+	team_use_destroy(s->team_use);
 	g_ptr_array_unref(s->planned_runs);
 	g_ptr_array_unref(s->begun_jobs);
 	g_ptr_array_unref(s->dirty_jobs);
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -132,6 +132,7 @@
 	DECISION_LOST,		     /* a run is gone and its end is not known */
 	DECISION_GIVEN_UP,	     /* runners end under each run of the task: its job fails */
 	DECISION_PREEMPTED,	     /* a run is stopped for more urgent work */
+	DECISION_CAP_LOWERED,	     /* a planned start would exceed its team's cap of now */
 	DECISION_END_IGNORED,	     /* a runner lists the end of a run that is not the live one */
 	DECISION_RUNNER_SILENT,	     /* a runner does not answer polls */
 	DECISION_RUNNER_RECOVERED,   /* it answers polls again */
@@ -190,6 +191,7 @@
 	uint32_t status_keep_ms; /* ended jobs are kept this long */
 	/* Longest time from now that runs of earlier schedulers last on an unreachable runner. */
 	uint32_t inherited_ms;
+	uint32_t quota_over_milli; /* share by which a gang may exceed its team's cap, in 1/1000 */
 };
 
 /* scheduler_create - takes over the jobs in the table, with the runs that may exist. */
@@ -249,6 +251,7 @@
 	uint32_t steps_awaiting_advice;
 	uint32_t steps_advice_deferred; /* the advisor is too busy */
 	uint32_t gangs_waiting;
+	uint32_t tasks_held_back; /* by the caps of their teams; not in waiting_tasks */
 	/* Now. */
 	uint32_t runs;
 	uint32_t runners;
@@ -273,4 +276,18 @@
 void scheduler_each_pool(const struct scheduler *s,
 			 void (*fn)(void *ctx, const struct scheduler_pool *pool), void *ctx);
 
+/* What a team has in the cell. */
+struct scheduler_team {
+	const char *name; /* valid during the call */
+	uint32_t weight;  /* 0 if it isn't configured */
+	struct resources cap;
+	struct resources used;
+	uint32_t runs;	       /* that may exist */
+	uint32_t held_back;    /* tasks that only the cap kept waiting in the last placement pass */
+	uint32_t waiting_jobs; /* open jobs that have not started */
+};
+/* scheduler_each_team - for each team that is configured or has runs. */
+void scheduler_each_team(const struct scheduler *s,
+			 void (*fn)(void *ctx, const struct scheduler_team *team), void *ctx);
+
 #endif
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -3,6 +3,7 @@
 
 #include "process/advice.h"
 #include "process/scheduler.h"
+#include "process/team_use.h"
 
 /*
  * Internals of the scheduler, by file: scheduler.c jobs; runners.c incarnations, leases and polls
@@ -26,6 +27,7 @@
 	GPtrArray *dirty_jobs;	 /* struct cell_job to be written */
 	GPtrArray *begun_jobs;	 /* struct cell_job whose first start is not in the log yet */
 	GPtrArray *planned_runs; /* struct run with no stored intent */
+	struct team_use *team_use;
 	uint32_t next_handle;
 	uint64_t last_poll_id;
 	uint64_t batch_next; /* number of the next batch */
@@ -71,7 +73,7 @@
 struct run *runs_create(struct scheduler *s, struct cell_job *j, uint32_t task,
 			uint32_t run_number);
 /* runs_attach - makes it the live run of its task. */
-void runs_attach(struct cell_job *j, struct run *r);
+void runs_attach(struct scheduler *s, struct cell_job *j, struct run *r);
 /* runs_route - path to the runner after a number of unanswered orders. */
 struct route runs_route(const struct cell_runner *rn, uint32_t tries);
 void runs_send_start(struct scheduler *s, struct run *r);
@@ -108,6 +110,9 @@
 /* scheduler_can_use_runner - true if tasks may be started there now. */
 bool scheduler_can_use_runner(const struct scheduler *s, const struct cell_runner *rn);
 struct resources scheduler_step_resources(const Cell__Step *spec);
+/* scheduler_team_limit - stores the cap of the job's team in *limit; false if there is none. */
+bool scheduler_team_limit(const struct scheduler *s, const struct cell_job *j,
+			  struct team_limit *limit);
 
 /*
  * poll_proof_ms - a poll sent at that time or later whose reply doesn't list the run proves that it
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -43,7 +43,9 @@
 					     [DECISION_FAILED] = "run failed",
 					     [DECISION_HUNG] = "run makes no progress, stopped",
 					     [DECISION_PREEMPTED] =
-						     "preempted for more urgent work" };
+						     "preempted for more urgent work",
+					     [DECISION_CAP_LOWERED] =
+						     "start withdrawn: over its team's cap" };
 	static const char *const ends[] = { [END_DONE] = "done",
 					    [END_FAILED] = "failed",
 					    [END_STOPPED] = "stopped",
@@ -121,6 +123,7 @@
 					     [DECISION_RUNNER_RESTARTED] = "runner_born",
 					     [DECISION_RUNNER_REPLACED] = "runner_replaced",
 					     [DECISION_PREEMPTED] = "run_preempted",
+					     [DECISION_CAP_LOWERED] = "start_over_cap",
 					     [DECISION_END_IGNORED] = "end_ignored" };
 
 	metrics_counter(m, "kw_decisions_total", "Decisions of the scheduler by kind.", "kind",
@@ -166,6 +169,19 @@
 		 percent(p->used.accel, p->capacity.accel));
 }
 
+static void log_team(void *ctx, const struct scheduler_team *t)
+{
+	if (!t->runs && !t->held_back && !t->waiting_jobs)
+		return;
+	log_info("team", t->name,
+		 "%u runs, cpu %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+		 " milli, memory %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+		 " bytes, accelerators %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+		 "; held back by the cap: %u tasks; jobs not started: %u",
+		 t->runs, t->used.cpu_milli, t->cap.cpu_milli, t->used.mem_bytes, t->cap.mem_bytes,
+		 t->used.accel, t->cap.accel, t->held_back, t->waiting_jobs);
+}
+
 void decisions_log_stats(const struct scheduler *scheduler)
 {
 	struct scheduler_stats s;
@@ -177,10 +193,11 @@
 		 ", failed %" G_GUINT64_FORMAT ", lost %" G_GUINT64_FORMAT
 		 ", advice requests %" G_GUINT64_FORMAT
 		 "; waiting tasks %u, gangs %u, steps: without capacity %u, waiting for advice %u, "
-		 "advice postponed %u",
+		 "advice postponed %u; tasks held back by caps %u",
 		 s.open_jobs, s.runs, s.runners, s.silent_runners, s.starts, s.starts_refused,
 		 s.ends[END_DONE], s.ends[END_FAILED], s.runs_lost, s.advice_requests,
 		 s.waiting_tasks, s.gangs_waiting, s.steps_without_room, s.steps_awaiting_advice,
-		 s.steps_advice_deferred);
+		 s.steps_advice_deferred, s.tasks_held_back);
 	scheduler_each_pool(scheduler, log_pool, NULL);
+	scheduler_each_team(scheduler, log_team, NULL);
 }
--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -203,7 +203,8 @@
 					     .stop_ms = 900,
 					     .write_every_ms = f->write_every_ms,
 					     .status_keep_ms = 120000,
-					     .inherited_ms = f->inherited_ms };
+					     .inherited_ms = f->inherited_ms,
+					     .quota_over_milli = 100 };
 
 	f->sched = scheduler_create(&conf, f->jobs, &ops, f, f->now_ms);
 	scheduler_configure(f->sched, f->queues);
