--- a/tests/platform/test_vmsettings.c
+++ b/tests/platform/test_vmsettings.c
@@ -43,6 +43,7 @@
 	cr_assert_eq(s->grace_ms, 2500);
 	cr_assert_eq(s->stop_max_ms, 900, "default for a missing key");
 	cr_assert_eq(s->revoke_max_ms, 0, "no limit unless it is asked for");
+	cr_assert_eq(s->quota_over_milli, 100, "default for a missing key");
 	vm_settings_destroy(s);
 }
 
@@ -71,6 +72,30 @@
 	}
 }
 
+struct over_case {
+	const char *lines;
+	uint32_t quota_over_milli;
+};
+
+Test(vmsettings, tolerance_of_caps)
+{
+	static const struct over_case cases[] = {
+		{ "bounds.quota-over=0\n", 0 },
+		{ "bounds.quota-over=0.25\n", 250 },
+		{ "bounds.quota-over=1\n", 1000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat(COMPLETE, cases[i].lines, NULL);
+		struct vm_settings *s = NULL;
+		struct status st = STATUS_INIT;
+
+		cr_assert(read_text(text, &s, &st), "%s: %s", cases[i].lines, st.message);
+		cr_expect_eq(s->quota_over_milli, cases[i].quota_over_milli, "%s", cases[i].lines);
+		vm_settings_destroy(s);
+	}
+}
+
 struct invalid_case {
 	const char *line;
 	const char *key; /* has to be in the message */
@@ -88,6 +113,8 @@
 		{ "port-range=7380,7380", "port-range" },
 		{ "bounds.hold-max-ms=soon", "bounds.hold-max-ms" },
 		{ "bounds.stop-ms=-5", "bounds.stop-ms" },
+		{ "bounds.quota-over=10", "bounds.quota-over" },
+		{ "bounds.quota-over=-0.1", "bounds.quota-over" },
 		{ "platform.address=", "platform.address" },
 	};
 
