cell, node: reject jobs of teams above their weight while capacity is short

One team that sent several times its usual rate took advice, writes to the store and room from all others: every job was accepted, and the jobs of the other teams were late with it.

The scheduler now decides before the record of a job is appended. Jobs that may be stored already are never rejected: those that the log knows, those accepted in the last 10 s, and those that the entry node has appended itself.

--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -209,6 +209,7 @@
 	s->batch_next = 1;
 	s->inherited_until_ms = now_ms + conf->inherited_ms;
 	s->grant_until_ms = INT64_MAX;
+	s->admission = admission_create(now_ms);
 	s->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_runner);
 	s->open_jobs = g_ptr_array_new();
 	s->dirty_jobs = g_ptr_array_new();
@@ -242,6 +243,7 @@
 	g_ptr_array_unref(s->dirty_jobs);
 	g_ptr_array_unref(s->open_jobs);
 	g_hash_table_unref(s->runners);
+	admission_destroy(s->admission);
 	g_free(s);
 }
 
@@ -368,6 +370,7 @@
 		return next;
 	next = runners_check(s, next);
 	placement_run(s);
+	scheduler_report_backlog(s);
 	next = progress_write(s, next);
 	if (now_ms >= s->next_expiry_ms) {
 		s->next_expiry_ms = now_ms + EXPIRE_EVERY_MS;
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef CELL_SCHEDULER_H
 #define CELL_SCHEDULER_H
 
+#include "process/admission.h"
 #include "process/job_table.h"
 #include "process/cell_runner.h"
 #include "version/queues.h"
@@ -215,6 +216,15 @@
 /* scheduler_job_dropped - the job is about to be freed. */
 void scheduler_job_dropped(struct scheduler *s, struct cell_job *j);
 
+/* scheduler_has_teams - whether the configuration names teams, so that jobs may be rejected. */
+bool scheduler_has_teams(const struct scheduler *s);
+/*
+ * scheduler_admit - decides whether a job that is not known yet may be appended to the job log.
+ * Jobs without a team, or of one that the configuration doesn't name, are accepted.
+ */
+void scheduler_admit(struct scheduler *s, const Cell__Job *job, int64_t now_ms,
+		     struct admission_verdict *v);
+
 /* Answers to the calls of scheduler_ops. */
 void scheduler_start_answered(struct scheduler *s, const char *runner, const char *task,
 			      uint32_t run, enum start_result result, int64_t now_ms);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -7,8 +7,8 @@
 /*
  * Internals of the scheduler, by file: scheduler.c jobs; runners.c incarnations, leases and polls
  * of runners; poll.c replies to polls; runs.c start and stop orders; placement.c, pending_step.c,
- * advice_request.c, reserve.c and isolate.c placement of tasks; crash.c tasks that crash their
- * runners; progress.c and progress_record.c the log; stats.c counters.
+ * advice_request.c, reserve.c and isolate.c placement of tasks; admit.c admission of jobs; crash.c
+ * tasks that crash their runners; progress.c and progress_record.c the log; stats.c counters.
  */
 
 #define ORDER_MARGIN_MS 250  /* a ticket must outlast the write of the intent and the start */
@@ -21,6 +21,7 @@
 	const struct scheduler_ops *ops;
 	void *ctx;
 	const struct queues *queues;
+	struct admission *admission;
 	GHashTable *runners;	 /* struct cell_runner by id */
 	GPtrArray *open_jobs;	 /* struct cell_job that have not ended, or have runs */
 	GPtrArray *dirty_jobs;	 /* struct cell_job to be written */
@@ -118,6 +119,9 @@
 void poll_read_reply(struct scheduler *s, struct cell_runner *rn, const struct poll_reply *reply,
 		     int64_t sent_ms);
 
+/* scheduler_report_backlog - reports the jobs that wait after a placement pass. */
+void scheduler_report_backlog(struct scheduler *s);
+
 /* placement_run - places the tasks that can start now, and requests missing advice. */
 void placement_run(struct scheduler *s);
 
--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -163,20 +163,37 @@
 	return NULL;
 }
 
-void links_reply_append(struct links *l, uint64_t link, uint64_t call, enum store_result result)
+static void send_append_reply(struct links *l, uint64_t link, Cell__AppendReply *m)
 {
 	Kw__Envelope e = KW__ENVELOPE__INIT;
-	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
 	struct peer *p = find_peer(l, link);
 
 	if (!p)
 		return;
+	e.body_case = KW__ENVELOPE__BODY_APPEND_REPLY;
+	e.append_reply = m;
+	link_send(p->link, &e, 0);
+}
+
+void links_reply_append(struct links *l, uint64_t link, uint64_t call, enum store_result result)
+{
+	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
+
 	m.call = call;
 	m.stored = result == STORE_OK;
 	m.refused = result == STORE_REFUSED;
-	e.body_case = KW__ENVELOPE__BODY_APPEND_REPLY;
-	e.append_reply = &m;
-	link_send(p->link, &e, 0);
+	send_append_reply(l, link, &m);
+}
+
+void links_reply_rejected(struct links *l, uint64_t link, uint64_t call, uint32_t retry_after_ms)
+{
+	Cell__AppendReply m = CELL__APPEND_REPLY__INIT;
+
+	m.call = call;
+	m.refused = true;
+	m.rejected = true;
+	m.retry_after_ms = retry_after_ms;
+	send_append_reply(l, link, &m);
 }
 
 bool links_request_advice(struct links *l, uint64_t call, const char *step,
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -72,8 +72,11 @@
 int64_t links_scheduler_silence_ms(const struct links *l);
 /* links_drop_peers - closes the links of all nodes that are linked to this one. */
 void links_drop_peers(struct links *l);
-/* result is STORE_OK, STORE_REFUSED, or STORE_UNKNOWN if the scheduler did not answer. */
-typedef void (*append_reply_fn)(void *ctx, enum store_result result);
+/*
+ * result is STORE_OK, STORE_REFUSED, or STORE_UNKNOWN if the scheduler did not answer. With
+ * STORE_REFUSED, retry_after_ms is not 0 if the scheduler rejects the job: it must not be stored.
+ */
+typedef void (*append_reply_fn)(void *ctx, enum store_result result, uint32_t retry_after_ms);
 /*
  * links_request_append - asks the scheduler to append a record. Returns false if there is no link;
  * otherwise fn is called after at most timeout_ms.
@@ -82,6 +85,8 @@
 			  uint32_t timeout_ms, append_reply_fn fn, void *ctx);
 /* links_reply_append - answers a peer; dropped if that link is gone. */
 void links_reply_append(struct links *l, uint64_t link, uint64_t call, enum store_result result);
+/* links_reply_rejected - answers a peer that the job is not accepted and nothing was stored. */
+void links_reply_rejected(struct links *l, uint64_t link, uint64_t call, uint32_t retry_after_ms);
 /*
  * links_request_state - asks the scheduler for the state of a job. Returns false if there is no
  * link; otherwise fn is called, at the latest on a timeout.
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -41,7 +41,7 @@
 	struct uplink_call c = take_call_at(l, i);
 
 	if (c.append_fn)
-		c.append_fn(c.ctx, STORE_UNKNOWN);
+		c.append_fn(c.ctx, STORE_UNKNOWN, 0);
 	else
 		c.state_fn(c.ctx, false, JOB_QUEUED);
 }
@@ -68,10 +68,14 @@
 {
 	struct uplink_call c;
 
-	if (take_call(l, m->call, &c) && c.append_fn)
-		c.append_fn(c.ctx, m->stored	? STORE_OK
-				   : m->refused ? STORE_REFUSED
-						: STORE_UNKNOWN);
+	if (!take_call(l, m->call, &c) || !c.append_fn)
+		return;
+	if (m->stored)
+		c.append_fn(c.ctx, STORE_OK, 0);
+	else if (m->refused)
+		c.append_fn(c.ctx, STORE_REFUSED, m->rejected ? MAX(m->retry_after_ms, 1) : 0);
+	else
+		c.append_fn(c.ctx, STORE_UNKNOWN, 0);
 }
 
 /* The echo tells the scheduler that this node is reachable. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -137,6 +137,7 @@
 		   "may grant leases for %" G_GINT64_FORMAT " ms, term %" G_GUINT64_FORMAT,
 		   job_table_size(joblog_job_table(n->log)), stats.runs,
 		   MAX(prior_grants_end_ms - now, 0), n->term);
+	admit_set_scheduler(n->admit, n->scheduler);
 	intake_set_scheduling(n->intake, true);
 	n->ops->scheduling_changed(n->ctx, true);
 	node_schedule_pass(n);
@@ -159,6 +160,7 @@
 	n->term = 0;
 	n->scheduler = NULL;
 	intake_set_scheduling(n->intake, false);
+	admit_set_scheduler(n->admit, NULL);
 	if (s) {
 		n->ops->scheduling_changed(n->ctx, false);
 		scheduler_destroy(s);
@@ -274,6 +276,7 @@
 {
 	struct node *n = ctx;
 	struct forwarded_append *f = g_new0(struct forwarded_append, 1);
+	uint32_t retry_after_ms;
 
 	f->node = n;
 	f->link = link;
@@ -282,6 +285,12 @@
 		on_forwarded_appended(f, STORE_REFUSED);
 		return;
 	}
+	retry_after_ms = admit_record(n->admit, ask->key, ask->value.data, ask->value.len);
+	if (retry_after_ms) {
+		links_reply_rejected(n->links, link, ask->call, retry_after_ms);
+		g_free(f);
+		return;
+	}
 	joblog_append(n->log, ask->key, g_memdup2(ask->value.data, ask->value.len), ask->value.len,
 		      node_now_ms() + ask->within_ms, on_forwarded_appended, f);
 }
@@ -342,7 +351,8 @@
 	n->relay = relay_create(runners, n->links);
 	n->advisor_queue = advisor_queue_create(advisor, node_advice_done, n);
 	n->log = joblog_create(store, &joblog_ops, n);
-	n->intake = intake_create(n->log, n->links);
+	n->admit = admit_create(n->log, conf->metrics);
+	n->intake = intake_create(n->log, n->links, n->admit);
 	n->election = election_create(store, n->self, address, conf->cpu_milli < SMALL_VM_CPU_MILLI,
 				      &election_ops, n);
 	return n;
@@ -481,6 +491,7 @@
 	relay_destroy(n->relay);
 	advisor_queue_destroy(n->advisor_queue);
 	intake_destroy(n->intake);
+	admit_destroy(n->admit);
 	joblog_destroy(n->log);
 	queues_destroy(n->queues);
 	g_hash_table_unref(n->advice_call);
--- a/packages/node/process/node_priv.h
+++ b/packages/node/process/node_priv.h
@@ -24,6 +24,7 @@
 	struct links *links;
 	struct advisor_queue *advisor_queue;
 	struct relay *relay;
+	struct admit *admit;
 	struct intake *intake;
 	struct queues *queues;
 	int64_t config_confirmed_ms; /* the configuration was current then */
--- /dev/null
+++ b/packages/node/request/admit.c
@@ -0,0 +1,88 @@
+#define G_LOG_DOMAIN "node"
+
+#include <string.h>
+
+#include "admit.h"
+#include "log.h"
+#include "recent_ids.h"
+
+struct admit {
+	struct joblog *log;
+	struct metrics *metrics;
+	struct scheduler *scheduler;
+	struct recent_ids *accepted;
+};
+
+struct admit *admit_create(struct joblog *log, struct metrics *metrics)
+{
+	struct admit *a = g_new0(struct admit, 1);
+
+	a->log = log;
+	a->metrics = metrics;
+	a->accepted = recent_ids_create(ADMIT_KEEP_MS);
+	return a;
+}
+
+void admit_destroy(struct admit *a)
+{
+	if (!a)
+		return;
+	recent_ids_destroy(a->accepted);
+	g_free(a);
+}
+
+void admit_set_scheduler(struct admit *a, struct scheduler *s)
+{
+	a->scheduler = s;
+}
+
+static void record_rejection(const struct admit *a, const Cell__Job *job,
+			     const struct admission_verdict *v)
+{
+	const char *cause = admission_cause_name(v->cause);
+
+	if (a->metrics)
+		metrics_counter(a->metrics, "kw_jobs_rejected_total",
+				"Jobs of teams above their rate that were not accepted.", "cause",
+				cause, "team", job->team, NULL)
+			->value++;
+	log_request(LOG_INFO, job->id, "admit", job->team,
+		    "rejected for %s, retry after %u ms: %u.%03u of %u tokens left, %u jobs in "
+		    "excess; waiting in the pool: %u, pressed %u; of the team: %u, pressed %u; "
+		    "priority %u, queue %s",
+		    cause, v->retry_after_ms, v->tokens_milli / 1000, v->tokens_milli % 1000,
+		    v->burst_milli / 1000, v->excess, v->pool.waiting, v->pool.pressed,
+		    v->team.waiting, v->team.pressed, job->priority, job->queue);
+}
+
+static uint32_t admit_job(struct admit *a, const Cell__Job *job, int64_t now_ms)
+{
+	struct admission_verdict v;
+
+	scheduler_admit(a->scheduler, job, now_ms, &v);
+	if (v.cause == ADMISSION_ACCEPTED)
+		recent_ids_add(a->accepted, job->id, now_ms);
+	else
+		record_rejection(a, job, &v);
+	return v.retry_after_ms;
+}
+
+uint32_t admit_record(struct admit *a, const char *key, const uint8_t *value, size_t size)
+{
+	int64_t now_ms = node_now_ms();
+	uint32_t retry_after_ms = 0;
+	Cell__Job *job;
+
+	if (!a->scheduler || !scheduler_has_teams(a->scheduler) || !job_id_is_valid(key))
+		return 0;
+	if (job_table_find(joblog_job_table(a->log), key) ||
+	    recent_ids_contains(a->accepted, key, now_ms))
+		return 0;
+	job = cell__job__unpack(NULL, size, value);
+	if (!job)
+		return 0;
+	if (g_str_equal(job->id, key))
+		retry_after_ms = admit_job(a, job, now_ms);
+	cell__job__free_unpacked(job, NULL);
+	return retry_after_ms;
+}
--- /dev/null
+++ b/packages/node/request/admit.h
@@ -0,0 +1,28 @@
+#ifndef NODE_ADMIT_H
+#define NODE_ADMIT_H
+
+#include "process/joblog.h"
+#include "process/metrics.h"
+
+/*
+ * admit - checks, on the scheduler's node, whether a record may be appended to the job log. Records
+ * of other nodes and those of this node's callers pass the same check.
+ *
+ * Only a new job can be rejected. A job that the log knows, or that was accepted shortly before, is
+ * a repeat: an earlier attempt may be stored, so a rejection would be untrue.
+ */
+#define ADMIT_KEEP_MS 10000 /* callers repeat within 3 s, and an append may take effect later */
+
+struct admit;
+
+struct admit *admit_create(struct joblog *log, struct metrics *metrics);
+void admit_destroy(struct admit *a);
+/* admit_set_scheduler - the scheduler that decides, NULL while this node is not the scheduler. */
+void admit_set_scheduler(struct admit *a, struct scheduler *s);
+/*
+ * admit_record - returns 0 if the record may be appended, else the time after which the caller may
+ * try again in ms. It must not be appended then.
+ */
+uint32_t admit_record(struct admit *a, const char *key, const uint8_t *value, size_t size);
+
+#endif
--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -1,4 +1,5 @@
 #include "intake.h"
+#include "recent_ids.h"
 
 /* For the scheduler's answer. The rest of the caller's time is left for an append by this node. */
 #define FORWARD_TIMEOUT_MS 1200
@@ -6,20 +7,27 @@
 struct intake {
 	struct joblog *log;
 	struct links *links;
+	struct admit *admit;
+	struct recent_ids *in_doubt; /* jobs of which an attempt by this node may be stored */
 	bool scheduling;
 };
 
-struct intake *intake_create(struct joblog *log, struct links *links)
+struct intake *intake_create(struct joblog *log, struct links *links, struct admit *admit)
 {
 	struct intake *i = g_new0(struct intake, 1);
 
 	i->log = log;
 	i->links = links;
+	i->admit = admit;
+	i->in_doubt = recent_ids_create(ADMIT_KEEP_MS);
 	return i;
 }
 
 void intake_destroy(struct intake *i)
 {
+	if (!i)
+		return;
+	recent_ids_destroy(i->in_doubt);
 	g_free(i);
 }
 
@@ -96,24 +104,39 @@
 
 	if (answer == INTAKE_REFUSED && r->in_doubt)
 		answer = INTAKE_UNKNOWN;
-	r->fn(r->ctx, answer);
+	r->fn(r->ctx, answer, 0);
 	request_free(r);
 }
 
 static void append_here(struct request *r)
 {
+	recent_ids_add(r->intake->in_doubt, r->id, node_now_ms());
 	joblog_append(r->intake->log, r->key, g_steal_pointer(&r->value), r->size, r->deadline_ms,
 		      on_request_done, r);
 }
 
+/* An attempt by this node, which the scheduler may not have read yet, makes a rejection untrue. */
+static void reject(struct request *r, uint32_t retry_after_ms)
+{
+	if (find_stored(r->intake, r->id))
+		r->fn(r->ctx, INTAKE_OK, 0);
+	else if (recent_ids_contains(r->intake->in_doubt, r->id, node_now_ms()))
+		r->fn(r->ctx, INTAKE_UNKNOWN, 0);
+	else
+		r->fn(r->ctx, INTAKE_REJECTED, retry_after_ms);
+	request_free(r);
+}
+
 /* Without an answer the record may be in the log already; appending it twice is harmless. */
-static void on_append_reply(void *ctx, enum store_result result)
+static void on_append_reply(void *ctx, enum store_result result, uint32_t retry_after_ms)
 {
 	struct request *r = ctx;
 
 	r->in_doubt = result == STORE_UNKNOWN;
 	if (result == STORE_OK)
 		on_request_done(r, STORE_OK);
+	else if (retry_after_ms)
+		reject(r, retry_after_ms);
 	else
 		append_here(r);
 }
@@ -126,10 +149,15 @@
 static void store_intake(struct request *r)
 {
 	int64_t timeout_ms = MIN(r->deadline_ms - node_now_ms(), FORWARD_TIMEOUT_MS);
-
-	if (r->intake->scheduling || timeout_ms <= 0 ||
-	    !links_request_append(r->intake->links, r->key, r->value, r->size, (uint32_t)timeout_ms,
-				  on_append_reply, r))
+	uint32_t retry_after_ms =
+		r->intake->scheduling ? admit_record(r->intake->admit, r->key, r->value, r->size)
+				      : 0;
+
+	if (retry_after_ms)
+		reject(r, retry_after_ms);
+	else if (r->intake->scheduling || timeout_ms <= 0 ||
+		 !links_request_append(r->intake->links, r->key, r->value, r->size,
+				       (uint32_t)timeout_ms, on_append_reply, r))
 		append_here(r);
 }
 
@@ -139,7 +167,7 @@
 
 	if (find_stored(i, job->id)) {
 		cell__job__free_unpacked(job, NULL);
-		fn(ctx, INTAKE_OK);
+		fn(ctx, INTAKE_OK, 0);
 		return;
 	}
 	r = request_create(i, job->id, ctx);
@@ -167,7 +195,7 @@
 	struct request *r = ctx;
 
 	if (result == STORE_OK && !find_stored(r->intake, r->id)) {
-		r->fn(r->ctx, INTAKE_NOT_FOUND);
+		r->fn(r->ctx, INTAKE_NOT_FOUND, 0);
 		request_free(r);
 	} else if (result == STORE_OK) {
 		append_cancel(r);
--- a/packages/node/request/intake.h
+++ b/packages/node/request/intake.h
@@ -3,13 +3,15 @@
 
 #include "connection/links.h"
 #include "process/joblog.h"
+#include "request/admit.h"
 
 /*
  * intake - serves callers on any node: submits and cancels jobs, and reports their states.
  *
  * Records are forwarded to the scheduler, which batches those of all nodes into one append. If it
- * does not answer in time, this node appends them itself. INTAKE_REFUSED promises that the job
- * never runs: it is returned only if no append, there or here, can have taken effect.
+ * does not answer in time, this node appends them itself. INTAKE_REFUSED and INTAKE_REJECTED
+ * promise that the job never runs: they are returned only if no append, there or here, can have
+ * taken effect. A rejected job is not appended here either.
  */
 struct intake;
 
@@ -18,12 +20,15 @@
 	INTAKE_REFUSED, /* certainly not stored; the caller may try again */
 	INTAKE_UNKNOWN, /* may have been stored */
 	INTAKE_NOT_FOUND,
+	INTAKE_REJECTED, /* as INTAKE_REFUSED: the team is above its rate */
 };
 
-typedef void (*intake_fn)(void *ctx, enum intake_result result);
+/* intake_fn - retry_after_ms is 0 unless the result is INTAKE_REJECTED. */
+typedef void (*intake_fn)(void *ctx, enum intake_result result, uint32_t retry_after_ms);
 typedef void (*intake_state_fn)(void *ctx, enum intake_result result, enum job_state state);
 
-struct intake *intake_create(struct joblog *log, struct links *links);
+/* intake_create - admit: checks jobs of this node's callers while it is the scheduler. */
+struct intake *intake_create(struct joblog *log, struct links *links, struct admit *admit);
 void intake_destroy(struct intake *i);
 /* intake_set_scheduling - sets whether this node is the scheduler. */
 void intake_set_scheduling(struct intake *i, bool scheduling);
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -3231,7 +3231,7 @@
   (ProtobufCMessageInit) cell__append_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__append_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cell__append_reply__field_descriptors[5] =
 {
   {
     "call",
@@ -3269,16 +3269,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rejected",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendReply, rejected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__AppendReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__append_reply__field_indices_by_name[] = {
   0,   /* field[0] = call */
   2,   /* field[2] = refused */
+  3,   /* field[3] = rejected */
+  4,   /* field[4] = retry_after_ms */
   1,   /* field[1] = stored */
 };
 static const ProtobufCIntRange cell__append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cell__append_reply__descriptor =
 {
@@ -3288,7 +3314,7 @@
   "Cell__AppendReply",
   "cell",
   sizeof(Cell__AppendReply),
-  3,
+  5,
   cell__append_reply__field_descriptors,
   cell__append_reply__field_indices_by_name,
   1,  cell__append_reply__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -440,10 +440,15 @@
    * Certainly not stored. If neither stored nor refused is set, the outcome is unknown.
    */
   protobuf_c_boolean refused;
+  /*
+   * The scheduler does not accept the job now. `refused` is set too, for earlier releases.
+   */
+  protobuf_c_boolean rejected;
+  uint32_t retry_after_ms;
 };
 #define CELL__APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__append_reply__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /* Cell__Step methods */
--- a/tests/node/endpoint.c
+++ b/tests/node/endpoint.c
@@ -42,6 +42,10 @@
 	e->last_call = ask->call;
 	if (e->ignores_orders)
 		return;
+	if (e->rejects_for_ms) {
+		links_reply_rejected(e->links, link, ask->call, e->rejects_for_ms);
+		return;
+	}
 	links_reply_append(e->links, link, ask->call,
 			   e->refuses_appends		   ? STORE_REFUSED
 			   : g_str_equal(ask->key, "good") ? STORE_OK
--- a/tests/node/endpoint.h
+++ b/tests/node/endpoint.h
@@ -22,9 +22,10 @@
 	uint64_t last_link;
 	uint64_t last_call;
 	bool answered;
-	bool ignores_orders;  /* executes no orders and answers no requests */
-	bool refuses_appends; /* of any record */
-	bool store_down;      /* as the scheduler, it does not reach the store */
+	bool ignores_orders;	 /* executes no orders and answers no requests */
+	bool refuses_appends;	 /* of any record */
+	uint32_t rejects_for_ms; /* rejects all appends with this time to retry; 0 for none */
+	bool store_down;	 /* as the scheduler, it does not reach the store */
 	char ticket[16];
 };
 
--- a/tests/node/test_intake.c
+++ b/tests/node/test_intake.c
@@ -4,6 +4,8 @@
 #include "fakestore.h"
 #include "request/intake.h"
 
+#define TOPIC "keyed.jobs"
+
 static void on_changed(void *ctx, struct cell_job *j)
 {
 }
@@ -35,13 +37,15 @@
 struct submitted {
 	uint32_t n;
 	enum intake_result result;
+	uint32_t retry_after_ms;
 };
 
-static void on_submitted(void *ctx, enum intake_result result)
+static void on_submitted(void *ctx, enum intake_result result, uint32_t retry_after_ms)
 {
 	struct submitted *r = ctx;
 
 	r->n++;
+	r->retry_after_ms = retry_after_ms;
 	r->result = result;
 }
 
@@ -78,7 +82,7 @@
 		struct intake *in;
 
 		endpoint_connect_pair(&a, &b);
-		in = intake_create(j, b.links);
+		in = intake_create(j, b.links, NULL);
 		fake_set_mode(client, cases[i].store);
 		intake_submit(in, make_job(), fake_now_ms + 2000, on_submitted, &r);
 		endpoint_run_until(&a.appended, 1);
@@ -97,3 +101,108 @@
 		fake_log_destroy(log);
 	}
 }
+
+/* An intake with a store of its own, linked to a scheduler. */
+struct intake_env {
+	struct endpoint a;
+	struct endpoint b;
+	struct fake_log *log;
+	struct fake_client *client;
+	struct store store;
+	struct joblog *joblog;
+	struct intake *intake;
+	struct submitted submitted;
+};
+
+static void env_open(struct intake_env *e, bool linked)
+{
+	e->log = fake_log_create();
+	e->client = fake_client_create(e->log);
+	e->store = fake_store(e->client);
+	e->joblog = joblog_create(&e->store, &joblog_ops, NULL);
+	if (linked) {
+		endpoint_connect_pair(&e->a, &e->b);
+	} else {
+		endpoint_open(&e->a, "a");
+		endpoint_open(&e->b, "b");
+	}
+	e->intake = intake_create(e->joblog, e->b.links, NULL);
+}
+
+static void env_close(struct intake_env *e)
+{
+	intake_destroy(e->intake);
+	joblog_destroy(e->joblog);
+	endpoint_close(&e->b);
+	endpoint_close(&e->a);
+	fake_log_destroy(e->log);
+}
+
+static void env_submit(struct intake_env *e)
+{
+	uint32_t before = e->submitted.n;
+
+	intake_submit(e->intake, make_job(), fake_now_ms + 2000, on_submitted, &e->submitted);
+	for (int k = 0; k < ROUNDS_MAX && e->submitted.n == before; k++) {
+		g_main_context_iteration(NULL, FALSE);
+		fake_now_ms += 1;
+		joblog_tick(e->joblog);
+		fake_serve(e->log);
+	}
+	cr_assert_eq(e->submitted.n, before + 1);
+}
+
+struct rejection_case {
+	const char *what;
+	bool linked;	      /* to the scheduler, which rejects the job */
+	bool earlier;	      /* an attempt, which the scheduler doesn't answer for */
+	enum fake_mode store; /* for the appends of this node, the earlier one included */
+	int64_t later_ms;     /* time between the attempts */
+	enum intake_result expected;
+	uint32_t retry_after_ms;
+	bool stored;
+};
+
+/*
+ * A job of a team above its rate was appended by the entry node when the scheduler had not accepted
+ * it; and "certainly not stored" was said of a job whose earlier attempt was in the store.
+ */
+Test(intake, rejected_job_is_not_appended_and_rejection_is_true)
+{
+	static const struct rejection_case cases[] = {
+		{ "rejected", true, false, FAKE_OK, 0, INTAKE_REJECTED, 2500, false },
+		{ "rejected while the store is away", true, false, FAKE_SILENT, 0, INTAKE_REJECTED,
+		  2500, false },
+		{ "an earlier attempt is stored without an answer", true, true, FAKE_LOSES_REPLY,
+		  500, INTAKE_UNKNOWN, 0, true },
+		{ "an earlier attempt, a minute ago, had no effect", true, true, FAKE_SILENT, 60000,
+		  INTAKE_REJECTED, 2500, false },
+		{ "no link to the scheduler", false, false, FAKE_OK, 0, INTAKE_OK, 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct rejection_case *c = &cases[i];
+		struct intake_env e = { 0 };
+		uint32_t appends;
+
+		env_open(&e, c->linked);
+		fake_set_mode(e.client, c->store);
+		if (c->earlier) {
+			env_submit(&e);
+			cr_assert_eq(e.submitted.result, INTAKE_UNKNOWN, "%s", c->what);
+		}
+		fake_now_ms += c->later_ms;
+		appends = fake_append_calls(e.client);
+		e.a.rejects_for_ms = 2500;
+		env_submit(&e);
+		cr_expect_eq(e.submitted.result, c->expected, "%s: %u", c->what,
+			     e.submitted.result);
+		cr_expect_eq(e.submitted.retry_after_ms, c->retry_after_ms, "%s", c->what);
+		if (c->linked)
+			cr_expect_eq(fake_append_calls(e.client), appends,
+				     "%s: appended after the rejection", c->what);
+		cr_expect_eq(fake_record_count(e.log, TOPIC, JOBLOG_JOBS) > 0, c->stored, "%s",
+			     c->what);
+		env_close(&e);
+	}
+}
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -9,6 +9,7 @@
 	bool known;
 	enum job_state state;
 	enum store_result stored;
+	uint32_t retry_after_ms;
 };
 
 static void on_state_reply(void *ctx, bool known, enum job_state state)
@@ -20,11 +21,12 @@
 	r->state = state;
 }
 
-static void on_append_reply(void *ctx, enum store_result stored)
+static void on_append_reply(void *ctx, enum store_result stored, uint32_t retry_after_ms)
 {
 	struct reply *r = ctx;
 
 	r->n++;
+	r->retry_after_ms = retry_after_ms;
 	r->stored = stored;
 }
 
@@ -54,12 +56,35 @@
 				       &r));
 	endpoint_run_until(&r.n, 5);
 	cr_assert_eq(r.stored, STORE_UNKNOWN);
+	cr_assert_eq(r.retry_after_ms, 0);
 	cr_assert_not(links_request_state(a.links, "known", on_state_reply, &r),
 		      "a is linked to no scheduler");
 	endpoint_close(&b);
 	endpoint_close(&a);
 }
 
+/* A rejection that arrives without its time to retry is taken for a refusal, and the job appended.
+ */
+Test(links, rejection_carries_the_time_to_retry)
+{
+	static const uint32_t times[] = { 1000, 2345, 10000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+		struct endpoint a = { .rejects_for_ms = times[i] };
+		struct endpoint b = { 0 };
+		struct reply r = { 0 };
+
+		endpoint_connect_pair(&a, &b);
+		cr_assert(links_request_append(b.links, "good", (const uint8_t *)"x", 1, 500,
+					       on_append_reply, &r));
+		endpoint_run_until(&r.n, 1);
+		cr_expect_eq(r.stored, STORE_REFUSED);
+		cr_expect_eq(r.retry_after_ms, times[i]);
+		endpoint_close(&b);
+		endpoint_close(&a);
+	}
+}
+
 Test(links, outstanding_calls_fail_when_the_link_is_lost)
 {
 	struct endpoint a = { 0 };
