cell: the lapse of a silent runner's lease is not the end of the runner

Cause: a runner that was silent until its last lease had ended counted as ended under each of its tasks. So a harmless job was given up though fewer than two runners had ended under its task, the others were only silent.

Change: an end is certain if another runner answers at the address or a new incarnation does. A lapsed lease is a suspicion, which isolates the task as before. The verdict needs three certain ends right after the start, the last one alone, or five ends of which two are certain. The counts of certain ends are fields 12 and 13 of TaskProgress; records without them delay a verdict.

A new scheduler can't prove the end of a runner that is no longer listed, as it has no address of it.

--- a/packages/cell/process/crash.c
+++ b/packages/cell/process/crash.c
@@ -1,8 +1,13 @@
 #include "crash.h"
 
-#define CRASH_EARLY_MS	  300  /* after the start; replies through other nodes may be that late */
-#define CRASH_EARLY_MAX	  3    /* early ends in a row, after which a task is given up */
-#define CRASH_MAX	  5    /* ends in a row; the platform allows two starts after the third */
+#define CRASH_EARLY_MS	300 /* after the start; replies through other nodes may be that late */
+#define CRASH_EARLY_MAX 3   /* certain early ends in a row, after which a task is given up */
+#define CRASH_MAX	5   /* ends in a row; the platform allows two starts after the third */
+/*
+ * Certain ones among CRASH_MAX: the platform's minimum for giving a task up. With 3, a task started
+ * too often after takeovers, which can't prove the end of a runner that is no longer listed.
+ */
+#define CRASH_CERTAIN_MIN 2
 #define ALONE_EARLY	  2    /* early ends in a row, after which a task runs alone */
 #define ALONE_ANY	  3    /* ends of any kind in a row, after which it does too */
 #define PREFERRED_ANY	  2    /* ends of any kind, after which it prefers an empty runner */
@@ -24,6 +29,13 @@
 	return false;
 }
 
+static void note_certain(struct job_task *t, const struct run *r)
+{
+	t->crash_was_alone = r->started_alone;
+	t->certain_crashes++;
+	t->certain_early_crashes += t->crash_was_early;
+}
+
 void crash_note(const struct cell_runner *rn, const struct run *r, enum run_loss loss)
 {
 	struct job_task *t = &r->job->task[r->task];
@@ -37,19 +49,22 @@
 		crash_clear(t);
 		return;
 	}
-	if (survived_ms >= CRASH_EARLY_MS)
+	if (survived_ms >= CRASH_EARLY_MS) {
 		t->early_crashes = 0;
+		t->certain_early_crashes = 0;
+	}
 	/*
 	 * Without an answer to its start, the run may not have existed when the runner ended. A
 	 * host that fails again and again is not the fault of the task.
 	 */
 	t->crash_was_early = r->confirmed_ms && survived_ms < CRASH_EARLY_MS &&
 			     (!t->crash_host || t->crash_host != rn->host);
-	t->crash_was_alone = r->started_alone;
 	t->crash_is_certain = loss != LOSS_LEASE_ENDED;
 	t->crash_host = rn->host;
 	t->crashes++;
 	t->early_crashes += t->crash_was_early;
+	if (t->crash_is_certain)
+		note_certain(t, r);
 	r->job->suspect = true;
 }
 
@@ -67,13 +82,15 @@
 {
 	t->crashes = 0;
 	t->early_crashes = 0;
+	t->certain_crashes = 0;
+	t->certain_early_crashes = 0;
 	t->crash_host = 0;
 }
 
 bool crash_is_conclusive(const struct job_task *t)
 {
-	return (t->early_crashes >= CRASH_EARLY_MAX && t->crash_was_alone) ||
-	       t->crashes >= CRASH_MAX;
+	return (t->certain_early_crashes >= CRASH_EARLY_MAX && t->crash_was_alone) ||
+	       (t->certain_crashes >= CRASH_CERTAIN_MIN && t->crashes >= CRASH_MAX);
 }
 
 enum crash_isolation crash_isolation(const struct job_task *t)
--- a/packages/cell/process/crash.h
+++ b/packages/cell/process/crash.h
@@ -9,6 +9,10 @@
  * A runner that ends says nothing of its runs, so the end counts against each of them. A task at
  * fault ends its runner right after each start. A run that lives for CRASH_CLEARED_MS, or fails by
  * itself, clears its task of earlier ends.
+ *
+ * An end is certain if another runner answers at the address, or a new incarnation does. A runner
+ * that was silent until its last lease ended may live on. That is a suspicion: it leads to
+ * isolation, and counts towards a verdict only beside the certain ends that one needs.
  */
 #define CRASH_CLEARED_MS 5000
 
--- a/packages/cell/process/progress_record.c
+++ b/packages/cell/process/progress_record.c
@@ -70,6 +70,8 @@
 	t->failures = task->failures;
 	t->crashes = task->crashes;
 	t->early_crashes = task->early_crashes;
+	t->certain_crashes = task->certain_crashes;
+	t->certain_early_crashes = task->certain_early_crashes;
 	t->crash_run = task->crash_run;
 	if (has_checkpoint(task))
 		t->checkpoint = task->checkpoint;
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -128,6 +128,8 @@
 		j->task[t->task].failures = t->failures;
 		j->task[t->task].crashes = t->crashes;
 		j->task[t->task].early_crashes = t->early_crashes;
+		j->task[t->task].certain_crashes = t->certain_crashes;
+		j->task[t->task].certain_early_crashes = t->certain_early_crashes;
 		j->task[t->task].crash_run = t->crash_run;
 		j->suspect = j->suspect || t->crashes;
 		j->task[t->task].done = t->done;
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -33,14 +33,16 @@
 struct job_rank;
 
 struct job_task {
-	uint32_t last_run;	/* number of the last start, 0 for none */
-	uint32_t failures;	/* runs that failed by themselves, not lost or stopped ones */
-	uint32_t crashes;	/* runners that ended under its runs in a row */
-	uint32_t early_crashes; /* those in a row that ended right after the start */
-	uint32_t crash_run;	/* last run that was counted, 0 for none */
+	uint32_t last_run;	  /* number of the last start, 0 for none */
+	uint32_t failures;	  /* runs that failed by themselves, not lost or stopped ones */
+	uint32_t crashes;	  /* runners that ended under its runs in a row, or may have */
+	uint32_t early_crashes;	  /* those in a row that did right after the start */
+	uint32_t certain_crashes; /* those of crashes whose end is certain */
+	uint32_t certain_early_crashes; /* those of early_crashes whose end is certain */
+	uint32_t crash_run;		/* last run that was counted, 0 for none */
 	uint32_t crash_host;	/* of its runner; 0 if it isn't known, or the task was cleared */
 	bool crash_was_early;	/* that one */
-	bool crash_was_alone;	/* that one was started on a runner without other runs */
+	bool crash_was_alone;	/* the last certain one was on a runner without other runs */
 	bool crash_is_certain;	/* that one's runner has ended, or is known to live on */
 	int64_t alone_until_ms; /* it waits for such a runner until then; 0 if it doesn't wait */
 	bool done;
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1521,7 +1521,7 @@
   (ProtobufCMessageInit) cell__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[13] =
 {
   {
     "task",
@@ -1655,9 +1655,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "certain_crashes",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, certain_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "certain_early_crashes",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, certain_early_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
+  11,   /* field[11] = certain_crashes */
+  12,   /* field[12] = certain_early_crashes */
   6,   /* field[6] = checkpoint */
   10,   /* field[10] = crash_run */
   8,   /* field[8] = crashes */
@@ -1672,7 +1698,7 @@
 static const ProtobufCIntRange cell__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cell__task_progress__descriptor =
 {
@@ -1682,7 +1708,7 @@
   "Cell__TaskProgress",
   "cell",
   sizeof(Cell__TaskProgress),
-  11,
+  13,
   cell__task_progress__field_descriptors,
   cell__task_progress__field_indices_by_name,
   1,  cell__task_progress__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -131,7 +131,8 @@
    */
   uint32_t runner_index;
   /*
-   * Runners that ended under its runs in a row, and those of them that ended right after the start.
+   * Runners that ended under its runs in a row, or were silent until their lease had ended, and
+   * those of them that did right after the start.
    */
   uint32_t crashes;
   uint32_t early_crashes;
@@ -139,10 +140,16 @@
    * Last run that was counted.
    */
   uint32_t crash_run;
+  /*
+   * Of `crashes` and `early_crashes`, the runners that certainly ended. Older releases don't write
+   * them, which delays a verdict.
+   */
+  uint32_t certain_crashes;
+  uint32_t certain_early_crashes;
 };
 #define CELL__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cell__RunnerRef
