node: keep two requests for advice in flight

Cause: a node sent its next request to the advisor only after the answer to the last one, so the advisor was idle for that node during each round trip of up to 30 ms, longer than it serves an urgent request (21 ms). In a burst of urgent jobs on 38 nodes, steps waited 0.6 s for advice (median) while the pool was at 81% to 86%.

Change: two requests of a node may be in flight. No more, so that those of a scheduler that was replaced can still be dropped.

--- a/packages/node/process/advisor_queue.c
+++ b/packages/node/process/advisor_queue.c
@@ -16,7 +16,7 @@
 	advisor_queue_fn fn;
 	void *ctx;
 	GQueue waiting; /* of struct request */
-	struct request *in_flight;
+	uint32_t in_flight;
 	uint64_t load_us;
 };
 
@@ -35,7 +35,7 @@
 	struct request *q = ctx;
 	struct advisor_queue *aq = q->queue;
 
-	aq->in_flight = NULL;
+	aq->in_flight--;
 	aq->load_us -= q->cost_us;
 	aq->fn(aq->ctx, q->call, q->link, answered, ticket, n, validity_ms);
 	request_free(q);
@@ -46,12 +46,12 @@
 {
 	struct request *q;
 
-	if (aq->in_flight)
+	if (aq->in_flight >= ADVISOR_IN_FLIGHT_MAX)
 		return;
 	q = g_queue_pop_head(&aq->waiting);
 	if (!q)
 		return;
-	aq->in_flight = q;
+	aq->in_flight++;
 	aq->advisor.ops->ask(aq->advisor.impl, q->step, (const char *const *)q->runner, q->n,
 			     on_advised, q);
 }
--- a/packages/node/process/advisor_queue.h
+++ b/packages/node/process/advisor_queue.h
@@ -4,9 +4,14 @@
 #include "ports.h"
 
 /*
- * advisor_queue - sends requests to the advisor, one at a time. The advisor serves the calls of one
+ * advisor_queue - sends requests to the advisor, few at a time. The advisor serves the calls of one
  * VM sequentially anyway, and requests that are still queued here can be dropped.
+ *
+ * While one request is served, the next one is on its way: the round trip to an advisor in another
+ * region takes as long as it serves an urgent request.
  */
+#define ADVISOR_IN_FLIGHT_MAX 2
+
 struct advisor_queue;
 
 /* link: on which another node requested it; 0 for a request of this node. */
