node: hand the lease over when this VM has turned slow

Cause: after its holder was killed, the lease went to a VM that ran 7.5 times slower for 4 s. A scheduler only ever moved to a VM of a larger size.

Change: loop_lag measures how late passes begin and how long they take; a mean above 150 ms for a second is slow, and the lease is handed over, which leaves no gap.

Not measured on a whole cell.

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -27,6 +27,8 @@
 	char *holder;		   /* self of the holder, NULL for none */
 	bool holder_unknown;	   /* its claim was trimmed from the log, and no renewal read yet */
 	bool holder_released;	   /* the holder has released the lease */
+	bool named;		   /* its release names this node as the successor */
+	bool by_handover;	   /* this node got the lease that way */
 	int64_t reserved_until_ms; /* until then only the named successor may claim */
 	int64_t handover_deadline_ms; /* this node stops scheduling by then */
 	char *successor;	      /* named in the release */
@@ -75,6 +77,7 @@
 
 	e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, node_now_ms() + left_ms);
 	e->holder_released = false;
+	e->named = false;
 	e->holder_unknown = false;
 	g_free(e->holder);
 	e->holder = g_strdup(by);
@@ -85,6 +88,7 @@
 	e->leading = true;
 	e->term = term;
 	e->renewed_ms = append_sent_ms;
+	e->by_handover = e->named;
 	replace_holder(e, e->self);
 	log_notice("claim", NULL, "this node is the scheduler, term %" G_GUINT64_FORMAT, term);
 	e->ops->won(e->ctx, term);
@@ -127,6 +131,7 @@
 	bool ours = !*m->successor || g_str_equal(m->successor, e->self);
 
 	e->holder_released = true;
+	e->named = g_str_equal(m->successor, e->self);
 	e->reserved_until_ms = ours ? 0 : node_now_ms() + SUCCESSOR_WAIT_MS;
 }
 
@@ -400,6 +405,11 @@
 	step_down(e, why);
 }
 
+bool election_by_handover(const struct election *e)
+{
+	return e->leading && e->by_handover;
+}
+
 bool election_renewing(const struct election *e)
 {
 	return !e->append_failed && !e->releasing &&
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -63,6 +63,8 @@
 void election_superseded(struct election *e, const char *by);
 /* election_renewing - whether the last renewal was stored, as far as is known. */
 bool election_renewing(const struct election *e);
+/* election_by_handover - whether the last holder handed the lease over to this node. */
+bool election_by_handover(const struct election *e);
 /* election_grants_end_ms - time after which this node, as the holder, must not grant leases. */
 int64_t election_grants_end_ms(const struct election *e);
 /* election_prior_grants_end_ms - time after which no earlier holder grants leases to runners. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -10,8 +10,10 @@
 #define REST_FACTOR	   3 /* after a pass, other work gets this multiple of the pass's duration */
 #define SMALL_VM_CPU_MILLI 200	/* smaller VMs claim last: a scheduler used 170 at 20 jobs/s */
 #define YIELD_AFTER_MS	   500	/* until a term's first attempt: all nodes have linked by then */
-#define YIELD_EVERY_MS	   5000 /* until the next attempt if the larger VM did not take over */
-#define STATS_EVERY_MS	   2000 /* interval of the statistics in the log */
+#define YIELD_EVERY_MS	   5000 /* until the next attempt if the other VM did not take over */
+/* After a handover: under a load that is too much for any VM, the lease must not go round. */
+#define SLOW_YIELD_AFTER_MS 10000
+#define STATS_EVERY_MS	    2000 /* interval of the statistics in the log */
 
 int64_t node_now_ms(void)
 {
@@ -53,18 +55,28 @@
 		scheduler_grant_until(n->scheduler, election_grants_end_ms(n->election));
 }
 
-/* The scheduler uses more CPU than anything else, so it moves to a VM with much more CPU. */
-static void yield_to_larger_vm(struct node *n, int64_t now)
+/*
+ * The scheduler uses more CPU than anything else, so it moves to a VM with much more CPU, or off a
+ * VM that has turned slow.
+ */
+static void yield_to_faster_vm(struct node *n, int64_t now)
 {
+	bool slow = now >= n->slow_yield_min_ms && loop_lag_is_slow(&n->lag, now);
 	const char *name;
 
 	if (now < n->yield_min_ms || n->stopping || !election_renewing(n->election))
 		return;
-	name = links_larger_peer(n->links);
-	if (!name)
+	name = slow ? links_pick_successor(n->links) : links_larger_peer(n->links);
+	if (!name || !*name)
 		return;
 	n->yield_min_ms = now + YIELD_EVERY_MS;
-	log_notice("yield", name, "its VM has more CPU: handing the lease over to it");
+	if (slow)
+		log_notice("yield", name,
+			   "passes lag by %" G_GINT64_FORMAT
+			   " ms here: handing the lease over to it",
+			   n->lag.mean_us / 1000);
+	else
+		log_notice("yield", name, "its VM has more CPU: handing the lease over to it");
 	election_yield(n->election, name);
 	limit_grants(n);
 }
@@ -73,6 +85,7 @@
 {
 	struct node *n = data;
 	int64_t now = node_now_ms();
+	int64_t late = now - n->timer_due_ms;
 	int64_t next;
 	int64_t took;
 
@@ -85,8 +98,9 @@
 		n->stats_due_ms = now + STATS_EVERY_MS;
 		decisions_log_stats(n->scheduler);
 	}
-	yield_to_larger_vm(n, now);
 	took = node_now_ms() - now;
+	loop_lag_add(&n->lag, late, took, now);
+	yield_to_faster_vm(n, now);
 	n->next_pass_min_ms = now + took + REST_FACTOR * took;
 	arm_timer(n, MAX(next, now + COALESCE_MS));
 	return G_SOURCE_REMOVE;
@@ -127,6 +141,8 @@
 	n->scheduler =
 		scheduler_create(&conf, joblog_job_table(n->log), &node_scheduler_ops, n, now);
 	n->yield_min_ms = now + YIELD_AFTER_MS;
+	n->slow_yield_min_ms = now + (election_by_handover(n->election) ? SLOW_YIELD_AFTER_MS : 0);
+	n->lag = (struct loop_lag){ 0 };
 	limit_grants(n);
 	scheduler_configure(n->scheduler, n->queues);
 	/* Nodes may have linked before the job log was read. */
--- a/packages/node/process/node_priv.h
+++ b/packages/node/process/node_priv.h
@@ -5,6 +5,7 @@
 #include "election.h"
 #include "advisor_queue.h"
 #include "joblog.h"
+#include "loop_lag.h"
 #include "node.h"
 #include "relay.h"
 
@@ -36,8 +37,10 @@
 	int64_t timer_due_ms;
 	int64_t next_pass_min_ms; /* earliest time of the next scheduler pass */
 	int64_t stats_due_ms;
-	int64_t yield_min_ms;	/* earliest time to yield to a larger VM */
-	guint step_down_source; /* idle source */
+	int64_t yield_min_ms;	   /* earliest time to yield to another VM */
+	int64_t slow_yield_min_ms; /* earliest time to yield since this VM is slow */
+	struct loop_lag lag;	   /* of this term */
+	guint step_down_source;	   /* idle source */
 	char *step_down_by;
 	bool stopping;
 };
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -506,6 +506,44 @@
 	teardown(l, c, 3);
 }
 
+struct handover_case {
+	const char *what;
+	const char *successor; /* NULL: the holder dies */
+	bool by_handover;
+};
+
+/*
+ * A scheduler on a slow VM hands the lease over. If its successor could do so at once too, the
+ * lease would go round under a load that is too much for any VM.
+ */
+Test(election, successor_knows_that_it_was_named)
+{
+	static const struct handover_case cases[] = {
+		{ "named", "b", true },
+		{ "released to anybody", "", false },
+		{ "the holder died", NULL, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_log *l = fake_log_create();
+		struct candidate c[2] = { 0 };
+
+		create_pair(l, c);
+		cr_expect_not(election_by_handover(c[0].election), "%s", cases[i].what);
+		if (cases[i].successor) {
+			election_release(c[0].election, cases[i].successor);
+		} else {
+			fake_drop_calls(c[0].client);
+			g_clear_pointer(&c[0].election, election_destroy);
+		}
+		while (!c[1].term)
+			advance(l, &c[1], 1, TICK_MS);
+		cr_expect_eq(election_by_handover(c[1].election), cases[i].by_handover, "%s",
+			     cases[i].what);
+		teardown(l, c, 2);
+	}
+}
+
 Test(election, missing_successor_is_waited_for_only_briefly)
 {
 	struct fake_log *l = fake_log_create();
