cell: no start of a capped team while runs of unknown teams are listed

Cause: a new scheduler may read a job's own record, which names the team, after its runners list the job's runs. Until then the team could start as much again.

Change: while a runner lists such runs, teams with a cap start nothing, until the record is read or the last inherited lease has ended.

--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -24,6 +24,7 @@
 struct pass {
 	struct scheduler *s;
 	GHashTable *pool; /* struct pass_pool by service */
+	bool use_unknown; /* runs exist whose team is not known yet */
 };
 
 /* A step whose tasks are being placed. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -47,6 +47,13 @@
 	g_free(pool);
 }
 
+/* A job's own record, with its team, may be read after the runs of an earlier scheduler are listed.
+ */
+static bool has_runs_of_unknown_team(const struct scheduler *s, const struct cell_runner *rn)
+{
+	return rn->has_unread_runs && s->now_ms < s->inherited_until_ms;
+}
+
 static void collect_pools(struct pass *pass)
 {
 	GHashTableIter it;
@@ -58,6 +65,7 @@
 		struct cell_runner *rn = value;
 		struct pass_pool *pool;
 
+		pass->use_unknown |= has_runs_of_unknown_team(pass->s, rn);
 		rn->reserved = (struct resources){ 0 };
 		rn->kept_empty = false;
 		if (!rn->service || !scheduler_can_use_runner(pass->s, rn))
@@ -387,6 +395,8 @@
 
 	if (!scheduler_team_limit(pass->s, ps->job, &limit))
 		return UINT32_MAX;
+	if (pass->use_unknown)
+		return 0;
 	if (!spec->gang)
 		return team_use_room(pass->s->team_use, team, &limit, &need, spec->count);
 	return team_use_allows_gang(pass->s->team_use, team, &limit, &need, spec->count)
--- a/tests/cell/test_quota.c
+++ b/tests/cell/test_quota.c
@@ -362,6 +362,46 @@
 	fixture_destroy(f);
 }
 
+/*
+ * A job's record was read after the takeover, and its runs came on top of those that had been
+ * started meanwhile.
+ */
+Test(quota, nothing_starts_while_the_use_is_not_known)
+{
+	struct fixture *f = capped(2, 2000);
+	const struct poll_running row = {
+		.task = ID_A ".0.0.0", .run = 1, .checkpoint = "", .usage = 1
+	};
+	g_autoptr(GPtrArray) records = NULL;
+	g_autofree char *runner = NULL;
+
+	fixture_submit(f, team_job("t", ID_A, "urgent", 1, 900));
+	fixture_advance(f, 1);
+	runner = g_strdup(fixture_find_job(f, ID_A)->task[0].live_run->runner->id);
+	records = g_ptr_array_ref(f->records);
+	fixture_ack_batch(f);
+	fixture_accept_starts(f);
+	job_table_apply(f->jobs, ID_A, NULL, 0);
+	take_over(f, records);
+	fixture_add_runner(f, "r0", "desk", "rack0", 2000, 0);
+	fixture_add_runner(f, "r1", "desk", "rack1", 2000, 0);
+	fixture_submit(f, team_job("t", ID_B, "urgent", 1, 900));
+	fixture_submit(f, team_job("", ID_C, "urgent", 1, 900));
+	fixture_advance(f, 1);
+	fixture_poll_answer(f, runner, &row, 1, NULL, 0);
+	fixture_poll_answer(f, g_str_equal(runner, "r0") ? "r1" : "r0", NULL, 0, NULL, 0);
+	settle(f);
+	cr_expect_eq(runs_of(f, ID_B), 0);
+	cr_expect_eq(runs_of(f, ID_C), 1, "without a team");
+	fixture_submit(f, team_job("t", ID_A, "urgent", 1, 900));
+	fixture_advance(f, 200);
+	fixture_poll_answer(f, runner, &row, 1, NULL, 0);
+	settle(f);
+	cr_expect_eq(runs_of(f, ID_A), 1);
+	cr_expect_eq(runs_of(f, ID_B), 0, "the use is known, and the cap is reached");
+	fixture_destroy(f);
+}
+
 /* A start order without an answer may be carried out 12 s later, beside those that followed it. */
 Test(quota, an_unanswered_start_counts)
 {
