cell: admission measures how long waiting jobs take to start

Jobs that had used half of their time to wait were the sign of a shortage.

The jobs of each priority that wait are now divided by the present rate of first starts, and compared with half of the time that they could wait. Only jobs as urgent as the new one, or more so, count.

--- a/packages/cell/process/admission.h
+++ b/packages/cell/process/admission.h
@@ -8,8 +8,8 @@
  * admission - decides whether a job is accepted, or when its caller may try again.
  *
  * A job is rejected only if its team is above its rate and capacity is short, in the pool or for
- * the team itself. The rate is that of a token bucket which `weight` fills. Shortage is learned
- * from the jobs that wait after each placement pass.
+ * the team itself. The rate is that of a token bucket which `weight` fills. Capacity is short when
+ * the jobs of one priority that wait would take too long to start at the present rate of starts.
  */
 #define ADMISSION_RETRY_MIN_MS 1000
 #define ADMISSION_RETRY_MAX_MS 10000
@@ -33,10 +33,11 @@
 	uint32_t priority; /* 0 is the most urgent */
 };
 
-/* Jobs that wait for their first run. */
+/* The jobs of one priority that wait for their first run. */
 struct admission_backlog {
 	uint32_t waiting;
-	uint32_t pressed; /* that have used half of the time for which they could wait */
+	uint32_t wait_ms;  /* for a new job: how long these take at the present rate of starts */
+	uint32_t limit_ms; /* half of the mean time that they can wait without being late */
 };
 
 struct admission_verdict {
@@ -46,19 +47,23 @@
 	uint32_t tokens_milli;
 	uint32_t burst_milli; /* of a full bucket */
 	uint32_t excess;      /* jobs sent back that the team's rate has not made up for yet */
-	struct admission_backlog pool;
-	struct admission_backlog team;
+	struct admission_backlog backlog; /* that is too long, of the pool or of the team */
 };
 
 struct admission *admission_create(int64_t now_ms);
 void admission_destroy(struct admission *a);
 
 /*
- * admission_begin_pass, admission_add_waiting, admission_end_pass - report the backlog after a
- * placement pass: one call of admission_add_waiting() for each job that waits.
+ * admission_begin_pass, admission_end_pass - enclose the report after a placement pass: one call of
+ * admission_add_waiting() for each job that waits, and one of admission_add_started() for each
+ * whose first run was planned since the last pass. spare_ms: how long the job could wait when it
+ * was due.
  */
 void admission_begin_pass(struct admission *a);
-void admission_add_waiting(struct admission *a, const char *pool, const char *team, bool pressed);
+void admission_add_waiting(struct admission *a, const char *pool, const char *team,
+			   uint32_t priority, int64_t spare_ms);
+void admission_add_started(struct admission *a, const char *pool, const char *team,
+			   uint32_t priority);
 void admission_end_pass(struct admission *a, int64_t now_ms);
 
 /* admission_decide - decides on a job that is not known yet; v receives the decision. */
--- a/packages/cell/process/admit.c
+++ b/packages/cell/process/admit.c
@@ -1,22 +1,34 @@
 #include "job_rank.h"
 #include "scheduler_priv.h"
 
-/* A planned run counts as a start: its intent is being written. */
-static bool waits_for_first_run(const struct cell_job *j)
+static const char *pool_of(const struct scheduler *s, const Cell__Job *job)
 {
-	return !j->started && !j->tentative && !j->live_runs && !cell_job_has_ended(j);
+	const struct queue *q = queues_find(s->queues, job->queue);
+
+	return q ? q->service : job->service;
 }
 
-static void report_job(struct scheduler *s, const struct cell_job *j)
+/* A planned run counts as a start: its intent is being written. */
+static void report_job(struct scheduler *s, struct cell_job *j)
 {
-	const struct queue *q = queues_find(s->queues, j->spec->queue);
-	struct job_rank rank = job_rank_at(j, s->wall_ms);
+	const Cell__Job *spec = j->spec;
+	struct job_rank rank;
 
+	if (j->started || j->live_runs) {
+		if (!j->start_reported)
+			admission_add_started(s->admission, pool_of(s, spec), spec->team,
+					      spec->priority);
+		j->start_reported = true;
+		return;
+	}
+	if (j->tentative || cell_job_has_ended(j))
+		return;
+	rank = job_rank_at(j, s->wall_ms);
 	/* A job that is overdue may be impossible to place, and of no use to its caller. */
 	if (rank.key > s->wall_ms || rank.tier == JOB_TIER_OVERDUE)
 		return;
-	admission_add_waiting(s->admission, q ? q->service : j->spec->service, j->spec->team,
-			      job_slack_ms(j, s->wall_ms) < s->wall_ms - rank.key);
+	admission_add_waiting(s->admission, pool_of(s, spec), spec->team, spec->priority,
+			      job_slack_ms(j, s->wall_ms) + s->wall_ms - rank.key);
 }
 
 bool scheduler_has_teams(const struct scheduler *s)
@@ -30,8 +42,7 @@
 		return;
 	admission_begin_pass(s->admission);
 	for (guint i = 0; i < s->open_jobs->len; i++)
-		if (waits_for_first_run(s->open_jobs->pdata[i]))
-			report_job(s, s->open_jobs->pdata[i]);
+		report_job(s, s->open_jobs->pdata[i]);
 	admission_end_pass(s->admission, s->now_ms);
 }
 
@@ -41,7 +52,6 @@
 	struct admission_request req = { .id = job->id,
 					 .team = job->team,
 					 .priority = job->priority };
-	const struct queue *q;
 	const struct team *team;
 
 	*v = (struct admission_verdict){ .cause = ADMISSION_ACCEPTED };
@@ -50,8 +60,7 @@
 	team = teams_find(queues_teams(s->queues), job->team);
 	if (!team)
 		return;
-	q = queues_find(s->queues, job->queue);
-	req.pool = q ? q->service : job->service;
+	req.pool = pool_of(s, job);
 	req.weight = team->weight;
 	admission_decide(s->admission, &req, now_ms, v);
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -230,6 +230,7 @@
 	j->live_runs = 0;
 	j->dirty = false;
 	j->listed = false;
+	j->start_reported = false;
 	j->runs_inherited = false;
 }
 
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -80,6 +80,7 @@
 	bool suspect;		/* a runner has ended under one of its runs */
 	bool dirty;		/* changed since it was last written */
 	bool listed;		/* in the scheduler's list of open jobs */
+	bool start_reported;	/* its first run has been counted for admission */
 	bool runs_inherited;	/* the runs in stored_progress have been taken over */
 	struct job_rank *rank;	/* valid during one placement pass */
 	uint32_t live_runs;	/* runs that may exist, of all tasks */
--- a/packages/node/request/admit.c
+++ b/packages/node/request/admit.c
@@ -48,11 +48,11 @@
 			->value++;
 	log_request(LOG_INFO, job->id, "admit", job->team,
 		    "rejected for %s, retry after %u ms: %u.%03u of %u tokens left, %u jobs in "
-		    "excess; waiting in the pool: %u, pressed %u; of the team: %u, pressed %u; "
-		    "priority %u, queue %s",
+		    "excess; %u jobs that wait would start within %u ms, at most %u; priority %u, "
+		    "queue %s",
 		    cause, v->retry_after_ms, v->tokens_milli / 1000, v->tokens_milli % 1000,
-		    v->burst_milli / 1000, v->excess, v->pool.waiting, v->pool.pressed,
-		    v->team.waiting, v->team.pressed, job->priority, job->queue);
+		    v->burst_milli / 1000, v->excess, v->backlog.waiting, v->backlog.wait_ms,
+		    v->backlog.limit_ms, job->priority, job->queue);
 }
 
 static uint32_t admit_job(struct admit *a, const Cell__Job *job, int64_t now_ms)
