cell: fair share between teams in the order of placement

Among jobs of the same priority the oldest came first. A team that sent several times its usual had the oldest jobs, so it got all room that became free, and the jobs of other teams waited behind its backlog.

Within each tier and priority, jobs are now ordered by the weighted dominant share of their team in their pool, rounded down to multiples of half of what the team is entitled to. Each job adds what its waiting tasks want to the share, so one pass serves teams in turn. The order is computed once in each pass in which tasks wait; cells without teams keep the order by rank.

--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -3,6 +3,7 @@
 #include "job_rank.h"
 #include "advice_request.h"
 #include "crash.h"
+#include "fair_order.h"
 #include "isolate.h"
 #include "reserve.h"
 #include "headroom.h"
@@ -24,8 +25,9 @@
 }
 
 /* Ranks change with time, so each pass sorts again. */
-static void sort_open_jobs(struct scheduler *s)
+static void sort_open_jobs(const struct pass *pass)
 {
+	struct scheduler *s = pass->s;
 	g_autofree struct job_rank *rank = g_new(struct job_rank, s->open_jobs->len + 1);
 
 	for (guint i = 0; i < s->open_jobs->len; i++) {
@@ -35,6 +37,7 @@
 		j->rank = &rank[i];
 	}
 	g_ptr_array_sort(s->open_jobs, by_rank);
+	fair_order_jobs(pass);
 	for (guint i = 0; i < s->open_jobs->len; i++)
 		((struct cell_job *)s->open_jobs->pdata[i])->rank = NULL;
 }
@@ -428,8 +431,8 @@
 
 	if (!s->queues || !startup_done(s))
 		return;
-	sort_open_jobs(s);
 	collect_pools(&pass);
+	sort_open_jobs(&pass);
 	s->stats.waiting_tasks = 0;
 	s->stats.steps_without_room = 0;
 	s->stats.steps_awaiting_advice = 0;
--- a/tests/cell/load.c
+++ b/tests/cell/load.c
@@ -33,6 +33,9 @@
 	char id[17];
 	uint32_t queue;
 	uint32_t window;
+	uint32_t team;
+	uint32_t tries;
+	bool contended; /* submitted while team 0 sends too much, or soon after */
 	int64_t submit_ms;
 	int64_t objective_ms;
 	uint32_t worth_milli;
@@ -102,6 +105,8 @@
 	struct load_result *result;
 	GRand *rng;
 	GRand *job_rng; /* of the jobs, which are the same whatever the scheduler does */
+	GRand *team_rng;
+	GRand *hot_rng; /* of the jobs that team 0 sends above its usual rate */
 	int64_t now_us;
 	GSequence *event;
 	uint64_t order;
@@ -682,17 +687,27 @@
 	at_us(ss->load, append_end_us(ss->load), append_done, c);
 }
 
+static enum load_side side_of(const struct load *l, const struct load_job *job)
+{
+	return l->conf->teams && job->team == 0 ? LOAD_HOT : LOAD_OTHERS;
+}
+
+static struct load_count *contended_count(struct load *l, const struct load_job *job)
+{
+	return &l->result->contended[side_of(l, job)][job->queue];
+}
+
 static void count_end(struct load *l, struct load_job *job, const struct cell_job *j)
 {
-	struct load_count *of[2] = { &l->result->queue[job->queue],
-				     &l->result->window[job->window] };
+	struct load_count *of[3] = { &l->result->queue[job->queue], &l->result->window[job->window],
+				     job->contended ? contended_count(l, job) : NULL };
 	int64_t took = now_ms(l) - job->submit_ms;
 
 	job->ended = true;
 	of[0]->tasks += j->n_task;
 	for (uint32_t i = 0; i < j->n_task; i++)
 		of[0]->runs += j->task[i].last_run;
-	for (int i = 0; i < 2; i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(of) && of[i]; i++) {
 		of[i]->in_time += took <= job->objective_ms;
 		of[i]->late += took > job->objective_ms && took <= LATE_FACTOR * job->objective_ms;
 		of[i]->total_ms += (uint64_t)took;
@@ -716,6 +731,8 @@
 		l->result->queue[job->queue].preempted++;
 	if (job->poisoned)
 		return;
+	if (d->kind == DECISION_FIRST_START && job->contended)
+		contended_count(l, job)->first_start_ms += (uint64_t)(now_ms(l) - job->submit_ms);
 	if (d->kind == DECISION_FIRST_START)
 		l->result->queue[job->queue].first_start_ms +=
 			(uint64_t)(now_ms(l) - job->submit_ms);
@@ -819,10 +836,38 @@
 		job_table_apply(l->current->jobs, job->id, job->record, job->size);
 }
 
+static void job_arrives(struct load *l, void *data);
+
+/* Returns false if the scheduler rejects the job; the caller tries again if it has time left. */
+static bool is_admitted(struct load *l, struct load_job *job)
+{
+	struct load_sched *ss = l->current;
+	struct admission_verdict v;
+	int64_t again_us;
+	Cell__Job *m;
+
+	if (ss->dead || l->conf->accepts_all || !scheduler_has_teams(ss->sched))
+		return true;
+	m = cell__job__unpack(NULL, job->size, job->record);
+	scheduler_admit(ss->sched, m, now_ms(l), &v);
+	cell__job__free_unpacked(m, NULL);
+	if (v.cause == ADMISSION_ACCEPTED)
+		return true;
+	l->result->rejected[side_of(l, job)]++;
+	again_us = l->now_us + (int64_t)((v.retry_after_ms + 999) / 1000) * 1000000;
+	if (++job->tries < LOAD_TRIES && again_us / 1000 - job->submit_ms <= LOAD_TRIES_MS)
+		at_us(l, again_us, job_arrives, job);
+	else
+		l->result->given_up[side_of(l, job)]++;
+	return false;
+}
+
 static void job_arrives(struct load *l, void *data)
 {
 	struct load_job *job = data;
 
+	if (!is_admitted(l, job))
+		return;
 	if (!l->current->dead)
 		job_table_add_tentative(l->current->jobs, job->id, job->record, job->size);
 	at_us(l, append_end_us(l), job_stored, job);
@@ -833,13 +878,14 @@
 	return (uint32_t)CLAMP(spread(rng, mean, deviation) + 0.5, 1, max);
 }
 
-static void pack_job(struct load *l, struct load_job *job, const struct load_queue *q)
+static void pack_job(struct load *l, GRand *rng, struct load_job *job, const struct load_queue *q)
 {
 	Cell__Job m = CELL__JOB__INIT;
+	g_autofree char *team = g_strdup_printf("t%u", job->team);
 	Cell__Step step[3] = { CELL__STEP__INIT, CELL__STEP__INIT, CELL__STEP__INIT };
 	Cell__Step *steps[] = { &step[0], &step[1], &step[2] };
 	uint32_t after[3] = { 0, 0, 1 };
-	bool gang = chance(l->job_rng, q->gang_milli);
+	bool gang = chance(rng, q->gang_milli);
 	int64_t chain = 0;
 	double core_ms = 0;
 	double mean;
@@ -848,6 +894,8 @@
 	m.queue = (char *)q->name;
 	m.service = "pool";
 	m.payload = "";
+	if (l->conf->teams)
+		m.team = team;
 	m.accepted_ms = now_ms(l);
 	m.priority = q->priority;
 	m.attempts_max = q->attempts;
@@ -855,25 +903,23 @@
 	m.objective_ms = q->objective_ms;
 	m.advised = true;
 	m.step = steps;
-	m.n_step = q->steps_milli / 1000 + chance(l->job_rng, q->steps_milli % 1000);
+	m.n_step = q->steps_milli / 1000 + chance(rng, q->steps_milli % 1000);
 	for (size_t i = 0; i < m.n_step; i++) {
-		uint32_t base = around(l->job_rng, q->task_ms, 0.5, q->task_ms * 5 / 2);
+		uint32_t base = around(rng, q->task_ms, 0.5, q->task_ms * 5 / 2);
 		uint32_t longest = 0;
 
-		step[i].count = around(l->job_rng, q->tasks, 0.8, q->tasks * 6);
-		step[i].cpu_milli =
-			around(l->job_rng, q->cpu_milli, 0.45, l->conf->runner_cpu_milli / 2);
+		step[i].count = around(rng, q->tasks, 0.8, q->tasks * 6);
+		step[i].cpu_milli = around(rng, q->cpu_milli, 0.45, l->conf->runner_cpu_milli / 2);
 		step[i].mem_bytes =
-			(uint64_t)around(l->job_rng, q->mem_mib, 0.5, l->conf->runner_mem_mib / 2) *
-			MIB;
-		step[i].estimate_ms = (uint32_t)MAX(
-			spread(l->job_rng, base, q->estimate_error_milli / 1000.0), 1);
+			(uint64_t)around(rng, q->mem_mib, 0.5, l->conf->runner_mem_mib / 2) * MIB;
+		step[i].estimate_ms =
+			(uint32_t)MAX(spread(rng, base, q->estimate_error_milli / 1000.0), 1);
 		step[i].gang = gang && step[i].count > 1;
-		step[i].checkpoints = chance(l->job_rng, q->checkpoint_milli);
+		step[i].checkpoints = chance(rng, q->checkpoint_milli);
 		step[i].after = &after[i];
 		step[i].n_after = i > 0;
 		for (uint32_t k = 0; k < step[i].count; k++) {
-			uint32_t work = around(l->job_rng, base, gang ? 0 : 0.15, base * 3);
+			uint32_t work = around(rng, base, gang ? 0 : 0.15, base * 3);
 
 			g_array_append_val(job->work_ms, work);
 			longest = MAX(longest, work);
@@ -889,21 +935,51 @@
 	cell__job__pack(&m, job->record);
 }
 
+/* The jobs of one queue, or those that team 0 sends to it above its usual rate. */
 struct source {
 	uint32_t queue;
+	bool hot;
 };
 
+static bool within(const struct load *l, uint32_t at_s, uint32_t for_s)
+{
+	int64_t second = (now_ms(l) - START_MS) / 1000;
+
+	return second >= at_s && second < at_s + for_s;
+}
+
+/* Mean time to the next job. */
+static double interval_ms(const struct load *l, const struct source *src)
+{
+	const struct load_conf *conf = l->conf;
+	double interval = 100000.0 / conf->queue[src->queue].jobs_per_100_s;
+
+	if (src->hot)
+		return interval * 1000 / conf->hot_share_milli / (conf->hot_milli / 1000.0 - 1);
+	if (within(l, conf->burst_at_s, conf->burst_s) &&
+	    (!conf->burst_queue || conf->burst_queue == src->queue + 1))
+		return interval / (conf->burst_milli / 1000.0);
+	return interval;
+}
+
+static uint32_t pick_team(struct load *l)
+{
+	if (chance(l->team_rng, l->conf->hot_share_milli))
+		return 0;
+	return (uint32_t)g_rand_int_range(l->team_rng, 1, (gint32)l->conf->teams);
+}
+
 static void submit(struct load *l, void *data)
 {
 	struct source *src = data;
 	const struct load_queue *q = &l->conf->queue[src->queue];
 	int64_t second = (now_ms(l) - START_MS) / 1000;
-	bool burst =
-		second >= l->conf->burst_at_s && second < l->conf->burst_at_s + l->conf->burst_s;
-	double every = 100000.0 / q->jobs_per_100_s / (burst ? l->conf->burst_milli / 1000.0 : 1);
+	double every = interval_ms(l, src);
+	GRand *rng = src->hot ? l->hot_rng : l->job_rng;
 	struct load_job *job;
 
-	if (second >= l->conf->seconds) {
+	if (second >= l->conf->seconds ||
+	    (src->hot && !within(l, l->conf->hot_at_s, l->conf->hot_s))) {
 		g_free(src);
 		return;
 	}
@@ -912,17 +988,22 @@
 	job->queue = src->queue;
 	job->window = (uint32_t)MIN((now_ms(l) - START_MS) / LOAD_WINDOW_MS, LOAD_WINDOWS_MAX - 1);
 	job->submit_ms = now_ms(l);
-	job->poisoned = chance(l->job_rng, q->poison_milli);
+	job->poisoned = chance(rng, q->poison_milli);
 	job->work_ms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_hash_table_insert(l->job, job->id, job);
-	pack_job(l, job, q);
+	job->team = src->hot || !l->conf->teams ? 0 : pick_team(l);
+	job->contended =
+		l->conf->hot_s && within(l, l->conf->hot_at_s, l->conf->hot_s + LOAD_AFTER_HOT_S);
+	pack_job(l, rng, job, q);
 	if (!job->poisoned) {
 		l->result->queue[job->queue].jobs++;
 		l->result->window[job->window].jobs++;
+		if (job->contended)
+			contended_count(l, job)->jobs++;
 		l->owed += (uint64_t)job->worth_milli * 1000;
 	}
 	at_us(l, l->now_us + transit_us(l), job_arrives, job);
-	at_us(l, l->now_us + (int64_t)(-log(1 - uniform(l->job_rng)) * every * 1000), submit, src);
+	at_us(l, l->now_us + (int64_t)(-log(1 - uniform(rng)) * every * 1000), submit, src);
 }
 
 static void job_free(gpointer data)
@@ -956,6 +1037,22 @@
 	}
 }
 
+static void add_teams(struct load *l)
+{
+	struct teams *teams;
+
+	if (!l->conf->teams || l->conf->teams_unconfigured)
+		return;
+	teams = teams_create();
+	for (uint32_t i = 0; i < l->conf->teams; i++) {
+		g_autofree char *name = g_strdup_printf("t%u", i);
+		const struct team team = { .name = name, .weight = l->conf->team_weight[i > 0] };
+
+		teams_add(teams, &team, NULL, 0);
+	}
+	queues_set_teams(l->queues, teams);
+}
+
 static void add_runners(struct load *l)
 {
 	static const uint32_t speeds[] = { 800, 1000, 1250 };
@@ -1005,6 +1102,8 @@
 	queues_destroy(l->queues);
 	g_rand_free(l->rng);
 	g_rand_free(l->job_rng);
+	g_rand_free(l->team_rng);
+	g_rand_free(l->hot_rng);
 }
 
 void load_run(const struct load_conf *conf, struct load_result *result)
@@ -1017,6 +1116,8 @@
 	*result = (struct load_result){ 0 };
 	l.rng = g_rand_new_with_seed(conf->seed);
 	l.job_rng = g_rand_new_with_seed(conf->seed + 1000);
+	l.team_rng = g_rand_new_with_seed(conf->seed + 2000);
+	l.hot_rng = g_rand_new_with_seed(conf->seed + 3000);
 	l.event = g_sequence_new(g_free);
 	l.sched = g_ptr_array_new();
 	l.job = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
@@ -1025,6 +1126,7 @@
 	l.gang = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	l.client = g_new0(struct advisor_client, conf->advisor_clients);
 	add_queues(&l);
+	add_teams(&l);
 	add_runners(&l);
 	new_scheduler(&l, NULL);
 	for (uint32_t i = 0; i < conf->n_queue; i++) {
@@ -1032,6 +1134,12 @@
 
 		src->queue = i;
 		at_us(&l, l.now_us + 200000, submit, src);
+		if (!conf->hot_s)
+			continue;
+		src = g_new0(struct source, 1);
+		src->queue = i;
+		src->hot = true;
+		at_us(&l, l.now_us + (int64_t)conf->hot_at_s * 1000000, submit, src);
 	}
 	for (int i = 0; i < LOAD_TAKEOVER_MAX && conf->takeover_at_s[i]; i++)
 		at_us(&l, l.now_us + (int64_t)conf->takeover_at_s[i] * 1000000, lose_scheduler,
--- a/tests/cell/load.h
+++ b/tests/cell/load.h
@@ -17,6 +17,7 @@
 #define LOAD_WINDOW_MS	  2000
 #define LOAD_WINDOWS_MAX  64
 #define LOAD_TAKEOVER_MAX 8
+#define LOAD_AFTER_HOT_S  4
 
 /* A queue and its jobs. Work and estimates are spread around their means. */
 struct load_queue {
@@ -62,6 +63,19 @@
 	uint32_t takeover_ms;			   /* between two schedulers */
 	struct load_queue queue[LOAD_QUEUES_MAX];
 	uint32_t n_queue;
+	uint32_t burst_queue; /* number + 1 of the only queue that bursts; 0 for all */
+	/*
+	 * Each job belongs to one of these teams; 0 for no teams. Team 0 sends hot_milli of its
+	 * usual rate for hot_s.
+	 */
+	uint32_t teams;
+	uint32_t team_weight[2];  /* of team 0, and of each other one */
+	uint32_t hot_share_milli; /* of the usual jobs, those of team 0 */
+	uint32_t hot_at_s;
+	uint32_t hot_s;
+	uint32_t hot_milli;
+	bool teams_unconfigured; /* jobs have teams, but the configuration names none */
+	bool accepts_all;	 /* without admission */
 };
 
 struct load_count {
@@ -75,7 +89,21 @@
 	uint32_t tasks;
 };
 
+/* A caller tries 4 times within 3 s, when the answers tell it to. */
+#define LOAD_TRIES    4
+#define LOAD_TRIES_MS 3000
+
+enum load_side {
+	LOAD_OTHERS = 0,
+	LOAD_HOT, /* team 0 */
+};
+
 struct load_result {
+	/* Jobs submitted from hot_at_s to LOAD_AFTER_HOT_S after the hot time, by side and queue.
+	 */
+	struct load_count contended[LOAD_HOT + 1][LOAD_QUEUES_MAX];
+	uint32_t rejected[LOAD_HOT + 1]; /* answers, at any time */
+	uint32_t given_up[LOAD_HOT + 1]; /* jobs that were never accepted */
 	struct load_count queue[LOAD_QUEUES_MAX];
 	struct load_count window[LOAD_WINDOWS_MAX]; /* by the time of submission */
 	uint32_t worth_milli;			    /* earned, of what could be, in 1/1000 */
--- a/tests/cell/test_load.c
+++ b/tests/cell/test_load.c
@@ -157,3 +157,101 @@
 			      r.longest_pass_us);
 	}
 }
+
+/* Contention: one of 20 teams sends 6.5 times its usual for 6 s while urgent jobs burst twofold. */
+static struct load_conf contended(void)
+{
+	struct load_conf conf = seeded(cell);
+
+	conf.teams = 20;
+	/* A large team sends 20 jobs a second, and each of the others 4.3. */
+	conf.hot_share_milli = 200;
+	conf.team_weight[0] = 30;
+	conf.team_weight[1] = 6;
+	conf.hot_at_s = 8;
+	conf.hot_s = 6;
+	conf.hot_milli = 6500;
+	conf.burst_queue = 3;
+	conf.burst_at_s = 8;
+	conf.burst_s = 4;
+	conf.burst_milli = 2000;
+	return conf;
+}
+
+static void print_contended(const struct load_conf *conf, const struct load_result *r)
+{
+	static const char *const sides[] = { "others", "hot" };
+
+	if (!g_getenv("KW_LOAD_PRINT"))
+		return;
+	for (int side = 0; side <= LOAD_HOT; side++) {
+		g_print("  %s: %u rejections, %u given up;", sides[side], r->rejected[side],
+			r->given_up[side]);
+		for (uint32_t i = 0; i < conf->n_queue; i++) {
+			const struct load_count *c = &r->contended[side][i];
+
+			g_print(" %s: %u jobs, in time %u, late %u, first start %lu ms;",
+				conf->queue[i].name, c->jobs, share_milli(c), c->late,
+				(unsigned long)(c->first_start_ms / MAX(c->jobs, 1)));
+		}
+		g_print("\n");
+	}
+}
+
+enum contended_play {
+	PLAY_USUAL = 0, /* without the excess, and without teams in the configuration */
+	PLAY_BY_AGE,	/* without teams in the configuration */
+	PLAY_FAIR,	/* without admission */
+	PLAY_ALL,
+	PLAYS,
+};
+
+/* The share of the other teams' jobs of the queue that is in time, of that in the usual load. */
+static uint32_t kept_milli(const struct load_result *r, enum contended_play play, uint32_t queue)
+{
+	return share_milli(&r[play].contended[LOAD_OTHERS][queue]) * 1000 /
+	       MAX(share_milli(&r[PLAY_USUAL].contended[LOAD_OTHERS][queue]), 1);
+}
+
+static uint32_t first_start_ms(const struct load_result *r, uint32_t queue)
+{
+	const struct load_count *c = &r->contended[LOAD_OTHERS][queue];
+
+	return (uint32_t)(c->first_start_ms / MAX(c->jobs, 1));
+}
+
+#define TALLIES 1
+#define POSTS	2
+
+/*
+ * The other teams' batch jobs waited for those of the team that sent too much: 71% of them were in
+ * time instead of 96%, after 7.5 s until their first start instead of 0.4 s.
+ */
+Test(load, one_team_sends_much_more_than_its_weight)
+{
+	struct load_result r[PLAYS];
+	uint32_t jobs = 0;
+
+	for (int play = 0; play < PLAYS; play++) {
+		struct load_conf conf = contended();
+
+		conf.hot_milli = play == PLAY_USUAL ? 1001 : conf.hot_milli;
+		conf.teams_unconfigured = play <= PLAY_BY_AGE;
+		conf.accepts_all = play == PLAY_FAIR;
+		load_run(&conf, &r[play]);
+		print(&conf, &r[play]);
+		print_contended(&conf, &r[play]);
+	}
+	for (uint32_t i = 0; i < cell.n_queue; i++)
+		jobs += r[PLAY_ALL].contended[LOAD_OTHERS][i].jobs;
+	cr_expect_geq(kept_milli(r, PLAY_FAIR, TALLIES), 850, "by the order alone");
+	cr_expect_geq(kept_milli(r, PLAY_ALL, TALLIES), 850);
+	cr_expect_geq(kept_milli(r, PLAY_ALL, POSTS), 980);
+	cr_expect_leq(first_start_ms(&r[PLAY_ALL], TALLIES), 1000, "%u ms until the first start",
+		      first_start_ms(&r[PLAY_ALL], TALLIES));
+	cr_expect_leq(r[PLAY_ALL].given_up[LOAD_OTHERS] * 100, jobs,
+		      "%u jobs of teams at their rate were given up",
+		      r[PLAY_ALL].given_up[LOAD_OTHERS]);
+	/* There is room for urgent jobs, so those beyond its weight are served too. */
+	cr_expect_geq(share_milli(&r[PLAY_ALL].contended[LOAD_HOT][POSTS]), 900);
+}
