node, platform, ctl: show teams and the version of the configuration

Operators could not see what a team has running, why its jobs wait or are rejected, and which VM still uses an older configuration, but by reading the logs of all VMs.

GET /teams on the metrics server answers with the VM's version of the configuration, its age, whether keys may be used with it and, on the scheduler, with each team's use, cap, dominant share, waiting jobs, tasks held back and rejected jobs. Rejections are counted by admit, so that a reader of the view creates no series of metrics.

--- a/completions/knapweedwheel.bash
+++ b/completions/knapweedwheel.bash
@@ -7,7 +7,7 @@
 	cur=${COMP_WORDS[COMP_CWORD]}
 	prev=${COMP_WORDS[COMP_CWORD - 1]}
 	if ((COMP_CWORD == 1)); then
-		mapfile -t COMPREPLY < <(compgen -W "check publish submit status cancel explain drain trace \
+		mapfile -t COMPREPLY < <(compgen -W "check publish submit status cancel explain drain teams trace \
 			--help --version" -- "$cur")
 		return
 	fi
@@ -26,6 +26,7 @@
 	cancel) words+=" --json $daemon" ;;
 	explain) words+=" --json --service= $daemon" ;;
 	drain) words+=" $daemon" ;;
+	teams) words+=" --json $daemon" ;;
 	esac
 	if [[ $cur == -* ]]; then
 		mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
--- a/packages/ctl/client.c
+++ b/packages/ctl/client.c
@@ -193,6 +193,12 @@
 	return false;
 }
 
+bool client_call_daemon(struct client *c, size_t i, const struct call *call, struct reply *reply,
+			struct status *st)
+{
+	return try_daemon(c, call, c->urls->pdata[i], reply, st);
+}
+
 void reply_clear(struct reply *reply)
 {
 	if (reply->json)
--- a/packages/ctl/client.h
+++ b/packages/ctl/client.h
@@ -44,6 +44,9 @@
  * URL or no daemon.
  */
 bool client_call(struct client *c, const struct call *call, struct reply *reply, struct status *st);
+/* client_call_daemon - as client_call(), but only to the daemon with index i. */
+bool client_call_daemon(struct client *c, size_t i, const struct call *call, struct reply *reply,
+			struct status *st);
 void reply_clear(struct reply *reply);
 /* reply_ok - true for HTTP status 2xx. */
 bool reply_ok(const struct reply *reply);
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -20,6 +20,7 @@
 enum exit_status command_cancel(const struct command *command, int argc, char **argv);
 enum exit_status command_explain(const struct command *command, int argc, char **argv);
 enum exit_status command_drain(const struct command *command, int argc, char **argv);
+enum exit_status command_teams(const struct command *command, int argc, char **argv);
 enum exit_status command_trace(const struct command *command, int argc, char **argv);
 
 /* Options of every command that calls a daemon. */
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -14,6 +14,7 @@
 	{ "cancel", "Cancels a job", command_cancel },
 	{ "explain", "Explains why a job or service waits or can't run", command_explain },
 	{ "drain", "Makes a daemon hand over its work and stop", command_drain },
+	{ "teams", "Shows teams and the version of the configuration on each VM", command_teams },
 	{ "trace", "Collects the log lines of one job from several logs", command_trace },
 };
 
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -71,6 +71,8 @@
 void node_cancel(struct node *n, const char *id, int64_t deadline_ms, intake_fn fn, void *ctx);
 void node_job_state(struct node *n, const char *id, intake_state_fn fn, void *ctx);
 uint32_t node_waiting_count(const struct node *n, const char *queue);
+/* node_teams_json - see teams_view; the caller frees it with g_free(). */
+char *node_teams_json(const struct node *n);
 /* node_stats - the scheduler's statistics; returns false if this node is not the scheduler. */
 bool node_stats(const struct node *n, struct scheduler_stats *stats);
 
--- a/packages/node/request/admit.c
+++ b/packages/node/request/admit.c
@@ -11,6 +11,7 @@
 	struct metrics *metrics;
 	struct scheduler *scheduler;
 	struct recent_ids *accepted;
+	GHashTable *rejections; /* of struct admit_rejections by team */
 };
 
 struct admit *admit_create(struct joblog *log, struct metrics *metrics)
@@ -20,6 +21,7 @@
 	a->log = log;
 	a->metrics = metrics;
 	a->accepted = recent_ids_create(ADMIT_KEEP_MS);
+	a->rejections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return a;
 }
 
@@ -28,6 +30,7 @@
 	if (!a)
 		return;
 	recent_ids_destroy(a->accepted);
+	g_hash_table_unref(a->rejections);
 	g_free(a);
 }
 
@@ -36,11 +39,33 @@
 	a->scheduler = s;
 }
 
-static void record_rejection(const struct admit *a, const Cell__Job *job,
+static void count_rejection(struct admit *a, const char *team, enum admission_cause cause)
+{
+	struct admit_rejections *r = g_hash_table_lookup(a->rejections, team);
+
+	if (!r) {
+		r = g_new0(struct admit_rejections, 1);
+		g_hash_table_insert(a->rejections, g_strdup(team), r);
+	}
+	if (cause == ADMISSION_BACKLOG)
+		r->backlog++;
+	else
+		r->capacity++;
+}
+
+struct admit_rejections admit_rejections(const struct admit *a, const char *team)
+{
+	const struct admit_rejections *r = g_hash_table_lookup(a->rejections, team);
+
+	return r ? *r : (struct admit_rejections){ 0 };
+}
+
+static void record_rejection(struct admit *a, const Cell__Job *job,
 			     const struct admission_verdict *v)
 {
 	const char *cause = admission_cause_name(v->cause);
 
+	count_rejection(a, job->team, v->cause);
 	if (a->metrics)
 		metrics_counter(a->metrics, "kw_jobs_rejected_total",
 				"Jobs of teams above their rate that were not accepted.", "cause",
--- a/packages/node/request/admit.h
+++ b/packages/node/request/admit.h
@@ -15,6 +15,12 @@
 
 struct admit;
 
+/* Jobs of a team rejected by this process since its start, by cause. */
+struct admit_rejections {
+	uint64_t capacity;
+	uint64_t backlog;
+};
+
 struct admit *admit_create(struct joblog *log, struct metrics *metrics);
 void admit_destroy(struct admit *a);
 /* admit_set_scheduler - the scheduler that decides, NULL while this node is not the scheduler. */
@@ -24,5 +30,7 @@
  * try again in ms. It must not be appended then.
  */
 uint32_t admit_record(struct admit *a, const char *key, const uint8_t *value, size_t size);
+/* admit_rejections - zero for a team of which no job was rejected. */
+struct admit_rejections admit_rejections(const struct admit *a, const char *team);
 
 #endif
--- a/tests/node/test_admit.c
+++ b/tests/node/test_admit.c
@@ -274,5 +274,8 @@
 	cr_expect_not_null(
 		strstr(out->str, "kw_jobs_rejected_total{cause=\"backlog\",team=\"hot\"} 1"), "%s",
 		out->str);
+	cr_expect_eq(admit_rejections(e.admit, "hot").backlog, 1);
+	cr_expect_eq(admit_rejections(e.admit, "hot").capacity, 0);
+	cr_expect_eq(admit_rejections(e.admit, "other").backlog, 0);
 	env_close(&e);
 }
