cell: jobs held back by a cap don't make their pool look short

Cause: admission counts the jobs of a pool that wait. Jobs of a team at its cap wait for its own runs to end, whatever room the pool has, and made other teams above their weight be refused.

Change: they count for their own team only.

Result: admission/share_of_rejected_jobs, two new cases; the first one fails without the change (the share of rejected jobs is then that of a pool that is short).

--- a/packages/cell/process/admission.c
+++ b/packages/cell/process/admission.c
@@ -110,9 +110,10 @@
 }
 
 void admission_add_waiting(struct admission *a, const char *pool, const char *team,
-			   uint32_t priority, int64_t spare_ms)
+			   uint32_t priority, int64_t spare_ms, bool held_by_cap)
 {
-	add_waiting(get_class(a, pool, "", priority), spare_ms);
+	if (!held_by_cap)
+		add_waiting(get_class(a, pool, "", priority), spare_ms);
 	if (*team)
 		add_waiting(get_class(a, pool, team, priority), spare_ms);
 }
--- a/packages/cell/process/admission.h
+++ b/packages/cell/process/admission.h
@@ -57,11 +57,11 @@
  * admission_begin_pass, admission_end_pass - enclose the report after a placement pass: one call of
  * admission_add_waiting() for each job that waits, and one of admission_add_started() for each
  * whose first run was planned since the last pass. spare_ms: how long the job could wait when it
- * was due.
+ * was due. held_by_cap: its team is at its cap, so it says nothing of the pool.
  */
 void admission_begin_pass(struct admission *a);
 void admission_add_waiting(struct admission *a, const char *pool, const char *team,
-			   uint32_t priority, int64_t spare_ms);
+			   uint32_t priority, int64_t spare_ms, bool held_by_cap);
 void admission_add_started(struct admission *a, const char *pool, const char *team,
 			   uint32_t priority);
 void admission_end_pass(struct admission *a, int64_t now_ms);
--- a/packages/cell/process/admit.c
+++ b/packages/cell/process/admit.c
@@ -28,7 +28,8 @@
 	if (rank.key > s->wall_ms || rank.tier == JOB_TIER_OVERDUE)
 		return;
 	admission_add_waiting(s->admission, pool_of(s, spec), spec->team, spec->priority,
-			      job_slack_ms(j, s->wall_ms) + s->wall_ms - rank.key);
+			      job_slack_ms(j, s->wall_ms) + s->wall_ms - rank.key,
+			      team_use_sum(s->team_use, spec->team).held_back > 0);
 }
 
 bool scheduler_has_teams(const struct scheduler *s)
--- a/tests/cell/test_admission.c
+++ b/tests/cell/test_admission.c
@@ -29,6 +29,7 @@
 	uint32_t least_milli;
 	uint32_t most_milli;
 	uint32_t waiting_priority;
+	bool held_by_cap;
 };
 
 /* Starts between the last pass and this one, of so many a second. */
@@ -43,7 +44,8 @@
 
 	admission_begin_pass(a);
 	for (uint32_t i = 0; is_short && i < c->waiting; i++)
-		admission_add_waiting(a, "p", c->waiting_team, c->waiting_priority, SPARE_MS);
+		admission_add_waiting(a, "p", c->waiting_team, c->waiting_priority, SPARE_MS,
+				      c->held_by_cap);
 	for (uint32_t i = starts(c->starts_s, ms); i > 0; i--)
 		admission_add_started(a, "p", c->waiting_team, c->waiting_priority);
 	for (uint32_t i = starts(c->other_starts_s, ms); i > 0; i--)
@@ -115,6 +117,10 @@
 		  "other", 5, 500, 0, 0 },
 		{ "less urgent jobs wait", "hot", "p", 4, 6500, 1, 6, 500, 9000, 40, "other", 50, 0,
 		  0, 0, .waiting_priority = 2 },
+		{ "a team at its cap waits in a pool with room", "hot", "p", 4, 6500, 1, 6, 500,
+		  9000, 40, "other", 50, 0, 0, 0, .held_by_cap = true },
+		{ "a team at its cap sends more", "hot", "p", 4, 6500, 1, 6, 500, 9000, 8, "hot", 5,
+		  500, 600, 850, .held_by_cap = true },
 		{ "a job without a team", "", "p", 4, 6500, 1, 6, 500, 9000, 40, "", 50, 0, 0, 0 },
 	};
 
