node: the owner of a job is checked also where its record was not read yet

Cause: the entry node compared the caller's team with the job's only if it knew the job. Right after a submission through another node, the key of another team could query and cancel it (3 of 3 tries with two daemons).

Change: intake checks the team, and reads the log first if it doesn't know the job. Without teams in the configuration nothing is read that was not read before.

Result: intake/jobs_of_other_teams_are_not_accessible; the cases "record not read yet" fail without the change.

--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -443,13 +443,6 @@
 	return access_check(&req, team);
 }
 
-const char *node_job_team(const struct node *n, const char *id)
-{
-	const struct cell_job *j = job_table_find(joblog_job_table(n->log), id);
-
-	return j ? j->spec->team : NULL;
-}
-
 void node_update_runner(struct node *n, const struct runner_info *info)
 {
 	if (!n->scheduler)
@@ -483,14 +476,15 @@
 	intake_submit(n->intake, job, deadline_ms, fn, ctx);
 }
 
-void node_cancel(struct node *n, const char *id, int64_t deadline_ms, intake_fn fn, void *ctx)
+void node_cancel(struct node *n, const char *id, const char *team, int64_t deadline_ms,
+		 intake_fn fn, void *ctx)
 {
-	intake_cancel(n->intake, id, deadline_ms, fn, ctx);
+	intake_cancel(n->intake, id, team, deadline_ms, fn, ctx);
 }
 
-void node_job_state(struct node *n, const char *id, intake_state_fn fn, void *ctx)
+void node_job_state(struct node *n, const char *id, const char *team, intake_state_fn fn, void *ctx)
 {
-	intake_state(n->intake, id, fn, ctx);
+	intake_state(n->intake, id, team, fn, ctx);
 }
 
 void node_destroy(struct node *n)
--- a/packages/node/process/node.h
+++ b/packages/node/process/node.h
@@ -60,16 +60,17 @@
 				     const char *key, const struct team **team);
 /* node_config_age_ms - time since the configuration was last confirmed. */
 int64_t node_config_age_ms(const struct node *n);
-/* node_job_team - team of a job that this node knows, "" for none; NULL if it doesn't know it. */
-const char *node_job_team(const struct node *n, const char *id);
 /* node_update_runner, node_remove_runner - ignored unless this node is the scheduler. */
 void node_update_runner(struct node *n, const struct runner_info *info);
 void node_remove_runner(struct node *n, const char *id);
 
 /* node_submit - takes ownership of job; fn is called by deadline_ms or slightly later. */
 void node_submit(struct node *n, Cell__Job *job, int64_t deadline_ms, intake_fn fn, void *ctx);
-void node_cancel(struct node *n, const char *id, int64_t deadline_ms, intake_fn fn, void *ctx);
-void node_job_state(struct node *n, const char *id, intake_state_fn fn, void *ctx);
+/* node_cancel, node_job_state - see intake_cancel() for team. */
+void node_cancel(struct node *n, const char *id, const char *team, int64_t deadline_ms,
+		 intake_fn fn, void *ctx);
+void node_job_state(struct node *n, const char *id, const char *team, intake_state_fn fn,
+		    void *ctx);
 uint32_t node_waiting_count(const struct node *n, const char *queue);
 /* node_teams_json - see teams_view; the caller frees it with g_free(). */
 char *node_teams_json(const struct node *n);
--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -44,6 +44,12 @@
 	return j && !j->tentative ? j : NULL;
 }
 
+/* team: as for intake_cancel(). */
+static bool may_access(const struct cell_job *j, const char *team)
+{
+	return !team || !*j->spec->team || g_str_equal(j->spec->team, team);
+}
+
 static enum job_state visible_state(const struct cell_job *j)
 {
 	return j->stored_state == JOB_QUEUED && j->started ? JOB_RUNNING : j->stored_state;
@@ -67,6 +73,7 @@
 	uint8_t *value;
 	size_t size;
 	int64_t deadline_ms;
+	char *team;    /* of the caller, NULL if it may access the jobs of all teams */
 	bool in_doubt; /* the scheduler may have appended the record */
 	intake_fn fn;
 	intake_state_fn state_fn;
@@ -92,6 +99,7 @@
 
 static void request_free(struct request *r)
 {
+	g_free(r->team);
 	g_free(r->key);
 	g_free(r->value);
 	g_free(r);
@@ -163,11 +171,16 @@
 
 void intake_submit(struct intake *i, Cell__Job *job, int64_t deadline_ms, intake_fn fn, void *ctx)
 {
+	const struct cell_job *known = find_stored(i, job->id);
 	struct request *r;
 
-	if (find_stored(i, job->id)) {
+	if (known) {
+		enum intake_result result = INTAKE_OK;
+
+		if (!may_access(known, *job->team ? job->team : NULL))
+			result = INTAKE_FORBIDDEN;
 		cell__job__free_unpacked(job, NULL);
-		fn(ctx, INTAKE_OK, 0);
+		fn(ctx, result, 0);
 		return;
 	}
 	r = request_create(i, job->id, ctx);
@@ -181,8 +194,18 @@
 	store_intake(r);
 }
 
-static void append_cancel(struct request *r)
+static void finish_cancel(struct request *r, enum intake_result result)
+{
+	r->fn(r->ctx, result, 0);
+	request_free(r);
+}
+
+static void append_cancel(struct request *r, const struct cell_job *j)
 {
+	if (!may_access(j, r->team)) {
+		finish_cancel(r, INTAKE_FORBIDDEN);
+		return;
+	}
 	r->key = g_strdup_printf("%s/c", r->id);
 	r->value = g_malloc(1);
 	r->value[0] = 1;
@@ -193,25 +216,27 @@
 static void on_cancel_refreshed(void *ctx, enum store_result result)
 {
 	struct request *r = ctx;
+	const struct cell_job *j = find_stored(r->intake, r->id);
 
-	if (result == STORE_OK && !find_stored(r->intake, r->id)) {
-		r->fn(r->ctx, INTAKE_NOT_FOUND, 0);
-		request_free(r);
-	} else if (result == STORE_OK) {
-		append_cancel(r);
-	} else {
-		on_request_done(r, STORE_REFUSED);
-	}
+	if (result != STORE_OK)
+		finish_cancel(r, INTAKE_REFUSED);
+	else if (!j)
+		finish_cancel(r, INTAKE_NOT_FOUND);
+	else
+		append_cancel(r, j);
 }
 
-void intake_cancel(struct intake *i, const char *id, int64_t deadline_ms, intake_fn fn, void *ctx)
+void intake_cancel(struct intake *i, const char *id, const char *team, int64_t deadline_ms,
+		   intake_fn fn, void *ctx)
 {
 	struct request *r = request_create(i, id, ctx);
+	const struct cell_job *j = find_stored(i, id);
 
 	r->fn = fn;
+	r->team = g_strdup(team);
 	r->deadline_ms = deadline_ms;
-	if (find_stored(i, id))
-		append_cancel(r);
+	if (j)
+		append_cancel(r, j);
 	else
 		joblog_refresh(i->log, on_cancel_refreshed, r);
 }
@@ -245,21 +270,56 @@
 		joblog_refresh(r->intake->log, on_state_refreshed, r);
 }
 
-void intake_state(struct intake *i, const char *id, intake_state_fn fn, void *ctx)
+/* Asks the scheduler, or else the store, for the state of a job that the caller may access. */
+static void request_state(struct request *r)
 {
-	struct request *r;
+	struct intake *i = r->intake;
 	enum job_state state;
 
-	if (intake_find_state(i, id, &state)) {
-		fn(ctx, INTAKE_OK, state);
-		return;
-	}
-	r = request_create(i, id, ctx);
-	r->state_fn = fn;
-	if (links_request_state(i->links, id, on_state_reply, r))
+	if (intake_find_state(i, r->id, &state))
+		finish_state(r, INTAKE_OK, state);
+	else if (links_request_state(i->links, r->id, on_state_reply, r))
 		return;
-	if (joblog_store_down(i->log))
+	else if (joblog_store_down(i->log))
 		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
 	else
 		joblog_refresh(i->log, on_state_refreshed, r);
 }
+
+static void check_state(struct request *r, const struct cell_job *j)
+{
+	if (may_access(j, r->team))
+		request_state(r);
+	else
+		finish_state(r, INTAKE_FORBIDDEN, JOB_QUEUED);
+}
+
+static void on_owner_refreshed(void *ctx, enum store_result result)
+{
+	struct request *r = ctx;
+	const struct cell_job *j = find_stored(r->intake, r->id);
+
+	if (result != STORE_OK)
+		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
+	else if (!j)
+		finish_state(r, INTAKE_NOT_FOUND, JOB_QUEUED);
+	else
+		check_state(r, j);
+}
+
+void intake_state(struct intake *i, const char *id, const char *team, intake_state_fn fn, void *ctx)
+{
+	struct request *r = request_create(i, id, ctx);
+	const struct cell_job *j = find_stored(i, id);
+
+	r->state_fn = fn;
+	r->team = g_strdup(team);
+	if (j)
+		check_state(r, j);
+	else if (!team)
+		request_state(r);
+	else if (joblog_store_down(i->log))
+		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
+	else
+		joblog_refresh(i->log, on_owner_refreshed, r);
+}
--- a/packages/node/request/intake.h
+++ b/packages/node/request/intake.h
@@ -20,7 +20,8 @@
 	INTAKE_REFUSED, /* certainly not stored; the caller may try again */
 	INTAKE_UNKNOWN, /* may have been stored */
 	INTAKE_NOT_FOUND,
-	INTAKE_REJECTED, /* as INTAKE_REFUSED: the team is above its rate */
+	INTAKE_REJECTED,  /* as INTAKE_REFUSED: the team is above its rate */
+	INTAKE_FORBIDDEN, /* the job belongs to another team */
 };
 
 /* intake_fn - retry_after_ms is 0 unless the result is INTAKE_REJECTED. */
@@ -35,8 +36,14 @@
 
 /* intake_submit - takes ownership of job; fn is called by deadline_ms or slightly later. */
 void intake_submit(struct intake *i, Cell__Job *job, int64_t deadline_ms, intake_fn fn, void *ctx);
-void intake_cancel(struct intake *i, const char *id, int64_t deadline_ms, intake_fn fn, void *ctx);
-void intake_state(struct intake *i, const char *id, intake_state_fn fn, void *ctx);
+/*
+ * intake_cancel, intake_state - team: of the caller, "" for none; NULL if jobs of all teams may be
+ * accessed. The record of a job that isn't known here is read first, to learn whose it is.
+ */
+void intake_cancel(struct intake *i, const char *id, const char *team, int64_t deadline_ms,
+		   intake_fn fn, void *ctx);
+void intake_state(struct intake *i, const char *id, const char *team, intake_state_fn fn,
+		  void *ctx);
 /*
  * intake_find_state - the state that may be reported to callers; returns false if only the
  * scheduler or the store knows it.
--- a/tests/node/test_intake.c
+++ b/tests/node/test_intake.c
@@ -206,3 +206,82 @@
 		env_close(&e);
 	}
 }
+
+static void on_state(void *ctx, enum intake_result result, enum job_state state)
+{
+	on_submitted(ctx, result, 0);
+}
+
+static void add_step(Cell__Job *job)
+{
+	Cell__Step *step = g_new(Cell__Step, 1);
+
+	cell__step__init(step);
+	step->count = 1;
+	job->step = g_new(Cell__Step *, 1);
+	job->step[job->n_step++] = step;
+}
+
+struct owner_case {
+	const char *what;
+	bool read;	  /* the node has read the job's record */
+	const char *team; /* of the caller, NULL for a configuration without teams */
+	enum fake_mode store;
+	enum intake_result expected;
+};
+
+/*
+ * A node that had not read the record of a new job yet let the key of another team query and cancel
+ * it.
+ */
+Test(intake, jobs_of_other_teams_are_not_accessible)
+{
+	static const struct owner_case cases[] = {
+		{ "owner", true, "t", FAKE_OK, INTAKE_OK },
+		{ "owner, record not read yet", false, "t", FAKE_OK, INTAKE_OK },
+		{ "other team", true, "u", FAKE_OK, INTAKE_FORBIDDEN },
+		{ "other team, record not read yet", false, "u", FAKE_OK, INTAKE_FORBIDDEN },
+		{ "caller without a team, record not read yet", false, "", FAKE_OK,
+		  INTAKE_FORBIDDEN },
+		{ "owner can't be read", false, "u", FAKE_REFUSES, INTAKE_REFUSED },
+		{ "no teams any more", true, NULL, FAKE_OK, INTAKE_OK },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (int cancel = 0; cancel < 2; cancel++) {
+			const struct owner_case *c = &cases[i];
+			Cell__Job *job = make_job();
+			struct intake_env e = { 0 };
+			g_autofree uint8_t *value = NULL;
+			size_t size;
+
+			env_open(&e, false);
+			job->team = g_strdup("t");
+			add_step(job);
+			size = cell__job__get_packed_size(job);
+			value = g_malloc(size);
+			cell__job__pack(job, value);
+			if (c->read)
+				job_table_apply(joblog_job_table(e.joblog), job->id, value, size);
+			else
+				fake_add_record(e.log, TOPIC, JOBLOG_JOBS, job->id, value, size);
+			fake_set_mode(e.client, c->store);
+			if (cancel)
+				intake_cancel(e.intake, job->id, c->team, fake_now_ms + 2000,
+					      on_submitted, &e.submitted);
+			else
+				intake_state(e.intake, job->id, c->team, on_state, &e.submitted);
+			for (int k = 0; k < ROUNDS_MAX && !e.submitted.n; k++) {
+				g_main_context_iteration(NULL, FALSE);
+				fake_now_ms += 1;
+				joblog_tick(e.joblog);
+				fake_serve(e.log);
+			}
+			cr_assert_eq(e.submitted.n, 1, "%s", c->what);
+			cr_expect_eq(e.submitted.result, c->expected, "%s, cancel %d: %u", c->what,
+				     cancel, e.submitted.result);
+			cell__job__free_unpacked(job, NULL);
+			env_close(&e);
+		}
+	}
+}
