cell: late steps have a part of the advisor's time while there is much room

Cause: steps ask the advisor in the order of their jobs' ranks, and only so many requests may be in flight. While jobs in time kept the advisor busy, late jobs got no advice for 45 s, and had no run when all others had ended.

Change: a step whose request was deferred for 1 s is overdue. While less than half of its pool is in use, overdue steps have one in eight of the clients for long requests, at least one, and 25 ms of short requests for each client, in the order of their waits. While no short request is in flight they may use all clients, half of them twice. Only the request is out of order: tasks start by rank. The decision and the accounts of requests in flight are in process/advisor_share. Passes search the overdue steps last, 16 at most.

--- a/packages/cell/process/advice.h
+++ b/packages/cell/process/advice.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "advisor_share.h"
+
 /*
  * advice - the advisor's verdicts for one step: which runners may run it, and their tickets.
  *
@@ -22,7 +24,9 @@
 	bool in_flight;	  /* a request is in flight */
 	bool answered;	  /* a request was answered */
 	int64_t retry_ms; /* earliest next request */
-	uint64_t cost_us; /* of the request in flight */
+	/* Since when it is due and the advisor too busy to be asked; 0 if it doesn't wait. */
+	int64_t waiting_since_ms;
+	struct advisor_request request; /* the last one */
 };
 
 struct advice *advice_create(void);
--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -3,16 +3,7 @@
 #define REQUEST_RUNNERS_MAX	100 /* runners in one request, the platform's limit */
 #define GANG_NAMED_PER_APPROVED 3   /* advisors approve a third of the runners or more */
 #define REQUEST_RUNNERS_MIN	8 /* even if they cost more than half of the request's base cost */
-#define LONG_REQUEST_US		80000 /* those of urgent steps take 25 ms, all others 155 ms or more */
 #define TICKET_RENEW_MS		600 /* before a ticket expires; a request takes 400 ms plus transit */
-/*
- * Some clients get only short requests: a third of those beyond SHORT_ONLY_BASE, and at least one.
- * Of 6 clients that is 1, which the short requests keep 40% busy; of 29 clients it is 8.
- */
-#define SHORT_ONLY_BASE	   3
-#define SHORT_ONLY_DIVISOR 3
-/* Three short requests of 25 ms in flight per client, so that it has work during the transit. */
-#define SHORT_PER_CLIENT_US 75000
 
 /* Adds up to max runners with this verdict, the freest first; room: only those with room. */
 static void add_candidates(const struct pending_step *ps, GPtrArray *out, enum verdict verdict,
@@ -39,31 +30,9 @@
 			 : 0;
 }
 
-/*
- * The advisor serves the requests of each client one after the other. A long request takes
- * twenty times as long as that of an urgent step, so each client gets one at a time and some
- * clients get none.
- */
-static bool may_send(const struct scheduler *s, uint64_t cost_us)
-{
-	uint32_t clients = MAX(s->advisor_clients, 1);
-	uint32_t more = MAX(clients, SHORT_ONLY_BASE) - SHORT_ONLY_BASE;
-	uint32_t short_only = clients > 1 ? MAX(more / SHORT_ONLY_DIVISOR, 1) : 0;
-
-	if (cost_us > LONG_REQUEST_US)
-		return s->long_requests < clients - short_only;
-	return s->short_requests_us <
-	       (uint64_t)SHORT_PER_CLIENT_US * MAX(clients - MIN(s->long_requests, clients), 1);
-}
-
-void advice_request_begin(struct scheduler *s, struct advice *a, uint64_t cost_us)
+static bool may_send(const struct scheduler *s, const struct advisor_request *r)
 {
-	a->in_flight = true;
-	a->cost_us = cost_us;
-	if (cost_us > LONG_REQUEST_US)
-		s->long_requests++;
-	else
-		s->short_requests_us += cost_us;
+	return advisor_share_may_send(s->advisor, r);
 }
 
 void advice_request_end(struct scheduler *s, struct advice *a)
@@ -71,16 +40,22 @@
 	if (!a->in_flight)
 		return;
 	a->in_flight = false;
-	if (a->cost_us > LONG_REQUEST_US)
-		s->long_requests--;
-	else
-		s->short_requests_us -= a->cost_us;
+	advisor_share_end(s->advisor, &a->request);
+}
+
+/* The step can't get the advice that it needs now. */
+static void defer(struct scheduler *s, struct advice *a)
+{
+	s->stats.steps_advice_deferred++;
+	if (!a->waiting_since_ms)
+		a->waiting_since_ms = s->now_ms;
 }
 
 static void send_request(struct pass *pass, const struct pending_step *ps, const GPtrArray *runners,
-			 uint64_t cost_us)
+			 const struct advisor_request *r)
 {
 	struct scheduler *s = pass->s;
+	struct advice *a = ps->step->advice;
 	g_autofree const char **names = g_new(const char *, runners->len);
 	char step[TASK_NAME_BYTES];
 
@@ -88,9 +63,12 @@
 		names[i] = ((const struct cell_runner *)runners->pdata[i])->id;
 	cell_job_step_name(ps->job, ps->step, step);
 	ps->pool->unplaced_in_row = 0;
-	advice_request_begin(s, ps->step->advice, cost_us);
+	a->in_flight = true;
+	a->request = *r;
+	a->waiting_since_ms = 0;
+	advisor_share_begin(s->advisor, r);
 	s->stats.advice_requests++;
-	s->ops->request_advice(s->ctx, step, names, runners->len, cost_us);
+	s->ops->request_advice(s->ctx, step, names, runners->len, r->cost_us);
 }
 
 /* Tasks of the step that fit into half of the runner; one at least, as it may become empty. */
@@ -139,61 +117,117 @@
 		     REQUEST_RUNNERS_MIN, REQUEST_RUNNERS_MAX);
 }
 
+static struct advice *advice_of(const struct pending_step *ps)
+{
+	if (!ps->step->advice)
+		ps->step->advice = advice_create();
+	return ps->step->advice;
+}
+
 bool advice_request_is_blocked(const struct scheduler *s, const struct pending_step *ps)
 {
+	const struct advisor_request r = { .cost_us = request_cost_us(ps, 1) };
 	const struct advice *a = ps->step->advice;
 
 	if (a && (a->answered || a->in_flight))
 		return false;
-	return !may_send(s, request_cost_us(ps, 1));
+	return !may_send(s, &r);
 }
 
-void advice_request_send(struct pass *pass, const struct pending_step *ps, bool possible)
+void advice_request_defer(struct scheduler *s, const struct pending_step *ps)
+{
+	struct advice *a = advice_of(ps);
+
+	if (!a->in_flight)
+		defer(s, a);
+}
+
+/* Whether the step needs verdicts or tickets that it doesn't wait for already. */
+static bool is_due(struct pass *pass, const struct pending_step *ps, bool possible, bool more)
 {
-	g_autoptr(GPtrArray) runners = g_ptr_array_new();
 	struct scheduler *s = pass->s;
-	struct advice *a;
-	uint32_t max;
-	bool first;
-	bool more;
+	struct advice *a = ps->step->advice;
 
-	if (!ps->step->advice)
-		ps->step->advice = advice_create();
-	a = ps->step->advice;
-	first = !a->answered;
 	if (a->in_flight) {
 		s->stats.steps_awaiting_advice++;
-		return;
+		return false;
 	}
 	/*
 	 * A gang or a large task needs the verdicts before there is room, to know on which runners
 	 * to reserve it.
 	 */
-	more = ps->step->spec->gang && !approval_suffices(ps);
-	if (!possible && !more && !(first && (ps->step->spec->gang || ps->large))) {
+	if (!possible && !more && !(!a->answered && (ps->step->spec->gang || ps->large))) {
 		s->stats.steps_without_room++;
 		ps->pool->unplaced_in_row++;
-		return;
+		a->waiting_since_ms = 0;
+		return false;
 	}
 	if (a->retry_ms > s->now_ms) {
 		s->stats.steps_advice_deferred++;
-		return;
+		return false;
 	}
-	if (!may_send(s, request_cost_us(ps, 1))) {
-		s->stats.steps_advice_deferred++;
+	return true;
+}
+
+/* The first request is for all candidates, later ones only for those with room. */
+static void choose_runners(const struct pending_step *ps, GPtrArray *out, uint32_t max, bool more)
+{
+	add_candidates(ps, out, VERDICT_APPROVED, true, max);
+	add_candidates(ps, out, VERDICT_UNKNOWN, ps->step->advice->answered && !more, max);
+}
+
+void advice_request_send(struct pass *pass, const struct pending_step *ps, bool possible)
+{
+	g_autoptr(GPtrArray) runners = g_ptr_array_new();
+	struct advisor_request r = { .cost_us = request_cost_us(ps, 1) };
+	bool more = ps->step->spec->gang && !approval_suffices(ps);
+	struct advice *a = advice_of(ps);
+
+	if (!is_due(pass, ps, possible, more))
+		return;
+	if (!may_send(pass->s, &r)) {
+		defer(pass->s, a);
 		return;
 	}
-	/* The first request is for all candidates, later ones only for those with room. */
-	max = request_runners_max(ps, more);
-	add_candidates(ps, runners, VERDICT_APPROVED, true, max);
-	add_candidates(ps, runners, VERDICT_UNKNOWN, !first && !more, max);
+	choose_runners(ps, runners, request_runners_max(ps, more), more);
 	if (runners->len == 0)
 		return;
-	if (!may_send(s, request_cost_us(ps, runners->len))) {
-		s->stats.steps_advice_deferred++;
+	r.cost_us = request_cost_us(ps, runners->len);
+	if (may_send(pass->s, &r))
+		send_request(pass, ps, runners, &r);
+	else
+		defer(pass->s, a);
+}
+
+bool advice_request_is_overdue(const struct scheduler *s, const struct job_step *step)
+{
+	const struct advice *a = step->advice;
+
+	return a && !a->in_flight && a->waiting_since_ms && a->retry_ms <= s->now_ms &&
+	       advisor_share_wait_is_over(a->waiting_since_ms, s->now_ms);
+}
+
+bool advice_request_is_long(const struct queue *q)
+{
+	return q && advisor_share_is_long(q->advice_base_us + q->advice_per_runner_us);
+}
+
+void advice_request_send_overdue(struct pass *pass, const struct pending_step *ps, bool possible)
+{
+	g_autoptr(GPtrArray) runners = g_ptr_array_new();
+	struct advisor_request r = { .cost_us = request_cost_us(ps, 1), .overdue = true };
+	bool more = ps->step->spec->gang && !approval_suffices(ps);
+	struct advice *a = advice_of(ps);
+
+	if (!may_send(pass->s, &r))
 		return;
-	}
-	send_request(pass, ps, runners, request_cost_us(ps, runners->len));
+	if (possible)
+		choose_runners(ps, runners, request_runners_max(ps, more), more);
+	r.cost_us = request_cost_us(ps, runners->len);
+	if (runners->len == 0)
+		a->waiting_since_ms = pass->s->now_ms;
+	else if (may_send(pass->s, &r))
+		send_request(pass, ps, runners, &r);
 }
 
 void advice_request_renew(struct pass *pass, const struct pending_step *ps)
@@ -201,6 +235,7 @@
 	g_autoptr(GPtrArray) runners = g_ptr_array_new();
 	struct scheduler *s = pass->s;
 	struct advice *a = ps->step->advice;
+	struct advisor_request r = { 0 };
 
 	if (!a || !a->answered || a->in_flight || a->retry_ms > s->now_ms)
 		return;
@@ -211,6 +246,7 @@
 		    !advice_ticket(a, rn->handle, s->now_ms + TICKET_RENEW_MS))
 			g_ptr_array_add(runners, rn);
 	}
-	if (runners->len && may_send(s, request_cost_us(ps, runners->len)))
-		send_request(pass, ps, runners, request_cost_us(ps, runners->len));
+	r.cost_us = request_cost_us(ps, runners->len);
+	if (runners->len && may_send(s, &r))
+		send_request(pass, ps, runners, &r);
 }
--- a/packages/cell/process/advice_request.h
+++ b/packages/cell/process/advice_request.h
@@ -14,6 +14,17 @@
  * be asked: nothing can be done for it now.
  */
 bool advice_request_is_blocked(const struct scheduler *s, const struct pending_step *ps);
+/* advice_request_defer - notes that the step waits for a chance to ask. */
+void advice_request_defer(struct scheduler *s, const struct pending_step *ps);
+/* advice_request_is_overdue - true if the step has waited too long for one. */
+bool advice_request_is_overdue(const struct scheduler *s, const struct job_step *step);
+/* advice_request_is_long - true if requests for steps of the queue delay others much. */
+bool advice_request_is_long(const struct queue *q);
+/*
+ * advice_request_send_overdue - as advice_request_send, in the part of the advisor's time that is
+ * reserved for overdue steps. A step without room waits for its turn again.
+ */
+void advice_request_send_overdue(struct pass *pass, const struct pending_step *ps, bool possible);
 /* advice_request_send - requests tickets; possible: with them a waiting task could start. */
 void advice_request_send(struct pass *pass, const struct pending_step *ps, bool possible);
 /*
@@ -21,8 +32,7 @@
  * empty for the 400 ms of a request.
  */
 void advice_request_renew(struct pass *pass, const struct pending_step *ps);
-/* advice_request_begin, advice_request_end - account for a request; end is a no-op without one. */
-void advice_request_begin(struct scheduler *s, struct advice *a, uint64_t cost_us);
+/* advice_request_end - accounts for the end of a request; a no-op without one. */
 void advice_request_end(struct scheduler *s, struct advice *a);
 
 #endif
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -123,6 +123,9 @@
 	struct run *r = scheduler_plan_run(pass->s, ps->job, task, rn, ticket);
 
 	ps->pool->unplaced_in_row = 0;
+	/* The wait is for a run: a later one of the step must not count from before this one. */
+	if (ps->step->advice)
+		ps->step->advice->waiting_since_ms = 0;
 	if (ticket)
 		r->ticket_until_ms = advice_valid_until_ms(ps->step->advice, rn->handle);
 	return r;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -12,6 +12,7 @@
 	const char *service;
 	GPtrArray *runners;
 	struct resources capacity; /* of all runners */
+	struct resources used;	   /* on all runners */
 	struct resources gangs;	   /* need of the gangs that wait, of those visited so far */
 	uint32_t waiting_gangs;
 	uint32_t reserving_steps;  /* steps that have reserved room */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -8,11 +8,12 @@
 #include "headroom.h"
 #include "step_room.h"
 
-#define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
-#define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
-#define GANGS_WAITING_MILLI 500 /* share of a pool that waiting gangs may claim, in 1/1000 */
-#define GANGS_WAITING_MIN   2	/* that may wait, whatever they need */
-#define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
+#define STARTUP_WAIT_MS	     100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
+#define UNPLACED_IN_ROW_MAX  48	 /* steps without room, after which few others would find any */
+#define OVERDUE_SEARCHES_MAX 16	 /* steps per pass; each search visits the runners of a pool */
+#define GANGS_WAITING_MILLI  500 /* share of a pool that waiting gangs may claim, in 1/1000 */
+#define GANGS_WAITING_MIN    2	 /* that may wait, whatever they need */
+#define LARGE_FRACTION	     3	 /* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
 {
@@ -71,6 +72,7 @@
 		}
 		g_ptr_array_add(pool->runners, rn);
 		resources_add(&pool->capacity, &rn->capacity);
+		resources_add(&pool->used, &rn->used);
 	}
 }
 
@@ -344,6 +346,42 @@
 		place_tasks(pass, ps);
 }
 
+/* Asks for advice only. Its tasks start later, in the order of their ranks. */
+static void place_overdue(struct pass *pass, const struct pending_step *ps)
+{
+	const Cell__Step *spec = ps->step->spec;
+	g_autofree struct cell_runner **members = g_new0(struct cell_runner *, spec->count);
+	bool possible = false;
+
+	if (spec->gang)
+		possible = can_ever_be_held(ps) && find_gang_rack(pass, ps, false, members);
+	for (uint32_t i = 0; i < spec->count && !spec->gang && !possible; i++) {
+		const struct job_task *task = &ps->job->task[ps->step->first_task + i];
+
+		possible = pending_step_task_waits(pass, task) && is_possible(pass, ps, task);
+	}
+	advice_request_send_overdue(pass, ps, possible);
+}
+
+/* Whether nothing can be done for the step in this pass. */
+static bool is_skipped(const struct pass *pass, const struct pending_step *ps)
+{
+	const struct advice *a = ps->step->advice;
+	bool crowded = ps->pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX;
+
+	/* A step that has got advice out of its turn has room. */
+	if (crowded && !(a && a->request.overdue)) {
+		if (ps->advised)
+			advice_request_defer(pass->s, ps);
+		return true;
+	}
+	if (!ps->advised || !advice_request_is_blocked(pass->s, ps))
+		return false;
+	pass->s->stats.waiting_tasks += ps->step->spec->count;
+	advice_request_defer(pass->s, ps);
+	return true;
+}
+
 static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step, place_fn fn)
 {
 	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
@@ -351,14 +389,11 @@
 	g_autoptr(GPtrArray) candidates = NULL;
 
 	ps.pool = g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
-	if (!ps.pool || ps.pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX)
+	if (!ps.pool)
 		return;
 	ps.advised = q ? q->advised : j->spec->advised;
-	if (ps.advised && advice_request_is_blocked(pass->s, &ps)) {
-		pass->s->stats.waiting_tasks += step->spec->count;
-		pass->s->stats.steps_advice_deferred++;
+	if (fn != place_overdue && is_skipped(pass, &ps))
 		return;
-	}
 	ps.need = scheduler_step_resources(step->spec);
 	ps.candidates = candidates = g_ptr_array_new();
 	ps.headroom_milli = headroom_milli(j, pass->s->queues, pass->s->wall_ms);
@@ -401,6 +436,62 @@
 			place_step(pass, j, &j->step[i], place_any);
 }
 
+struct overdue {
+	struct cell_job *job;
+	struct job_step *step;
+};
+
+static int by_wait(gconstpointer a, gconstpointer b)
+{
+	int64_t x = ((const struct overdue *)a)->step->advice->waiting_since_ms;
+	int64_t y = ((const struct overdue *)b)->step->advice->waiting_since_ms;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Where more is in use, the order of ranks decides what is left to late jobs. */
+static bool has_much_room(const struct pass_pool *pool)
+{
+	return pool->used.cpu_milli * 2 <= pool->capacity.cpu_milli &&
+	       pool->used.mem_bytes * 2 <= pool->capacity.mem_bytes;
+}
+
+/* Adds the overdue steps of the job. Returns true if requests for them are long. */
+static bool add_overdue(const struct pass *pass, struct cell_job *j, GArray *out)
+{
+	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
+	const struct pass_pool *pool =
+		g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
+	guint before = out->len;
+
+	if (cell_job_has_ended(j) || !pool || !has_much_room(pool))
+		return false;
+	for (uint32_t k = 0; k < j->n_step; k++) {
+		struct overdue o = { j, &j->step[k] };
+
+		if (advice_request_is_overdue(pass->s, o.step) && step_waits(pass, j, o.step))
+			g_array_append_val(out, o);
+	}
+	return out->len > before && advice_request_is_long(q);
+}
+
+/* Last, since only room that is left for a step makes its advice of use. */
+static void serve_overdue(struct pass *pass)
+{
+	g_autoptr(GArray) overdue = g_array_new(FALSE, FALSE, sizeof(struct overdue));
+	bool any_long = false;
+
+	for (guint i = 0; i < pass->s->open_jobs->len; i++)
+		any_long |= add_overdue(pass, pass->s->open_jobs->pdata[i], overdue);
+	g_array_sort(overdue, by_wait);
+	for (guint i = 0; i < overdue->len && i < OVERDUE_SEARCHES_MAX; i++) {
+		const struct overdue *o = &g_array_index(overdue, struct overdue, i);
+
+		place_step(pass, o->job, o->step, place_overdue);
+	}
+	advisor_share_reserve(pass->s->advisor, any_long);
+}
+
 /*
  * True once all runners have answered the first poll or missed it. Advice requested for only a few
  * of the runners would have to be requested again.
@@ -438,5 +529,6 @@
 	place_isolated(&pass);
 	for (guint i = 0; i < s->open_jobs->len; i++)
 		place_job(&pass, s->open_jobs->pdata[i]);
+	serve_overdue(&pass);
 	g_hash_table_unref(pass.pool);
 }
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -208,6 +208,7 @@
 	s->wall_ms = g_get_real_time() / 1000;
 	s->batch_next = 1;
 	s->inherited_until_ms = now_ms + conf->inherited_ms;
+	s->advisor = advisor_share_create();
 	s->grant_until_ms = INT64_MAX;
 	s->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_runner);
 	s->open_jobs = g_ptr_array_new();
@@ -242,12 +243,13 @@
 	g_ptr_array_unref(s->dirty_jobs);
 	g_ptr_array_unref(s->open_jobs);
 	g_hash_table_unref(s->runners);
+	advisor_share_destroy(s->advisor);
 	g_free(s);
 }
 
 void scheduler_set_advisor_clients(struct scheduler *s, uint32_t n)
 {
-	s->advisor_clients = n;
+	advisor_share_set_clients(s->advisor, n);
 }
 
 void scheduler_grant_until(struct scheduler *s, int64_t until_ms)
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -31,12 +31,10 @@
 	uint64_t batch_next; /* number of the next batch */
 	uint64_t batch_acked;
 	uint32_t batches_in_flight;
-	int64_t begun_due_ms;	    /* begun_jobs are written by then */
-	int64_t batch_sent_ms;	    /* when the last batch was sent */
-	int64_t mean_write_ms;	    /* moving average of the time a write takes */
-	uint32_t advisor_clients;   /* nodes that can ask the advisor */
-	uint32_t long_requests;	    /* long requests in flight */
-	uint64_t short_requests_us; /* estimated time of the short requests in flight */
+	int64_t begun_due_ms;  /* begun_jobs are written by then */
+	int64_t batch_sent_ms; /* when the last batch was sent */
+	int64_t mean_write_ms; /* moving average of the time a write takes */
+	struct advisor_share *advisor;
 	int64_t created_ms;
 	bool fenced;
 	int64_t now_ms;
--- a/tests/cell/load.c
+++ b/tests/cell/load.c
@@ -15,6 +15,7 @@
 #define TICKET_MS      2000
 #define WRITE_EVERY_MS 25
 #define DRAIN_S	       20
+#define WATCH_MS       100
 #define COALESCE_US    4000 /* as in the node */
 #define REST_FACTOR    3
 #define LATE_FACTOR    3
@@ -114,6 +115,7 @@
 	GHashTable *job;    /* struct load_job by id */
 	GHashTable *stored; /* GBytes by key */
 	GHashTable *gang;   /* members present, by step and run */
+	GHashTable *wait;   /* struct wait by step */
 	uint32_t jobs;
 	uint64_t worth;
 	uint64_t owed;
@@ -599,6 +601,7 @@
 		for (size_t i = 0; i < c->n; i++)
 			if (approves(l, c->step, c->runner[i]))
 				ticket[n++] = (struct ticket){ c->runner[i], "t" };
+		g_hash_table_remove(l->wait, c->step);
 		l->client[c->client].load_us -= (int64_t)c->cost_us;
 		scheduler_advice_answered(c->sender->sched, c->step, (const char *const *)c->runner,
 					  c->n, ticket, n, now_ms(l) + TICKET_MS, true, now_ms(l));
@@ -635,11 +638,20 @@
 
 /* The store. */
 
+static bool is_slow(const struct load *l)
+{
+	int64_t begin = START_MS + (int64_t)l->conf->slow_at_s * 1000;
+
+	return l->conf->slow_s && now_ms(l) >= begin &&
+	       now_ms(l) < begin + (int64_t)l->conf->slow_s * 1000;
+}
+
 static int64_t append_end_us(const struct load *l)
 {
 	int64_t outage = (START_MS + (int64_t)l->conf->outage_at_s * 1000) * 1000;
 	int64_t over = outage + (int64_t)l->conf->outage_ms * 1000;
-	int64_t end = l->now_us + (int64_t)l->conf->store_ms * 1000;
+	uint32_t append_ms = is_slow(l) ? l->conf->slow_ms : l->conf->store_ms;
+	int64_t end = l->now_us + (int64_t)append_ms * 1000;
 
 	return l->conf->outage_ms && end >= outage && l->now_us < over ? over + 50000 : end;
 }
@@ -802,6 +814,116 @@
 	pass_soon(ss);
 }
 
+/* A step with tasks that could start, and no run. */
+struct wait {
+	int64_t unadvised_ms; /* since then it has got no advice */
+	int64_t idle_ms;      /* since then there was much room, and no disturbance */
+	bool counted;	      /* in idle_steps */
+};
+
+static struct wait *wait_of(struct load *l, const char *step)
+{
+	struct wait *w = g_hash_table_lookup(l->wait, step);
+
+	if (!w) {
+		w = g_new(struct wait, 1);
+		*w = (struct wait){ now_ms(l), now_ms(l), false };
+		g_hash_table_insert(l->wait, g_strdup(step), w);
+	}
+	return w;
+}
+
+static void watch_step(struct load *l, const struct load_job *job, const char *step, bool calm)
+{
+	struct wait *w = wait_of(l, step);
+	struct load_result *r = l->result;
+
+	if (now_ms(l) - job->submit_ms > job->objective_ms)
+		r->late_advice_ms = MAX(r->late_advice_ms, (uint32_t)(now_ms(l) - w->unadvised_ms));
+	if (!calm)
+		w->idle_ms = now_ms(l);
+	r->idle_ms = MAX(r->idle_ms, (uint32_t)(now_ms(l) - w->idle_ms));
+	if (now_ms(l) - w->idle_ms > LOAD_IDLE_MS && !w->counted) {
+		w->counted = true;
+		r->idle_steps++;
+	}
+}
+
+static void watch_pool(void *ctx, const struct scheduler_pool *pool)
+{
+	bool *calm = ctx;
+
+	*calm = *calm && pool->used.cpu_milli * 2 < pool->capacity.cpu_milli &&
+		pool->used.mem_bytes * 2 < pool->capacity.mem_bytes;
+}
+
+/* Whether the approved runners could hold a task of the step, or all members of a gang, twice. */
+static bool can_be_held(const struct load *l, const struct job_step *s, const char *step)
+{
+	uint32_t need = 2 * (s->spec->gang ? s->spec->count : 1);
+	uint32_t places = 0;
+
+	for (uint32_t i = 0; i < l->conf->runners && places < need; i++)
+		if (approves(l, step, l->runner[i].id))
+			places += MIN(l->conf->runner_cpu_milli / s->spec->cpu_milli,
+				      (uint32_t)((uint64_t)l->conf->runner_mem_mib * MIB /
+						 s->spec->mem_bytes));
+	return places >= need;
+}
+
+struct watch {
+	struct load *load;
+	bool calm;
+	uint32_t open; /* without a run */
+};
+
+/* The users' limits hold for jobs for which there is capacity twice over. */
+static bool is_small(const struct load *l, const struct cell_job *j)
+{
+	char step[TASK_NAME_BYTES];
+
+	for (uint32_t i = 0; i < j->n_step; i++) {
+		cell_job_step_name(j, &j->step[i], step);
+		if (!can_be_held(l, &j->step[i], step))
+			return false;
+	}
+	return true;
+}
+
+static void watch_job(void *ctx, struct cell_job *j)
+{
+	struct watch *w = ctx;
+	const struct load_job *job = g_hash_table_lookup(w->load->job, j->id);
+	char step[TASK_NAME_BYTES];
+
+	if (cell_job_has_ended(j) || !is_small(w->load, j))
+		return;
+	w->open += j->live_runs == 0;
+	for (uint32_t i = 0; i < j->n_step; i++) {
+		const struct job_step *s = &j->step[i];
+
+		cell_job_step_name(j, s, step);
+		if (s->live_runs || s->done >= s->spec->count ||
+		    !cell_job_step_ready(j, s, now_ms(w->load)))
+			g_hash_table_remove(w->load->wait, step);
+		else
+			watch_step(w->load, job, step, w->calm);
+	}
+}
+
+/* Looks at all open jobs. */
+static void watch(struct load *l, void *unused)
+{
+	struct watch w = { .load = l, .calm = !l->current->dead && !is_slow(l) };
+	int64_t end = START_MS + (int64_t)l->conf->seconds * 1000 + LOAD_DONE_MS;
+
+	scheduler_each_pool(l->current->sched, watch_pool, &w.calm);
+	job_table_each(l->current->jobs, watch_job, &w);
+	if (now_ms(l) >= end && now_ms(l) < end + WATCH_MS)
+		l->result->left_jobs = w.open;
+	at_us(l, l->now_us + (int64_t)WATCH_MS * 1000, watch, NULL);
+}
+
 static void lose_scheduler(struct load *l, void *unused)
 {
 	l->current->dead = true;
@@ -999,6 +1121,7 @@
 	g_hash_table_unref(l->job);
 	g_hash_table_unref(l->stored);
 	g_hash_table_unref(l->gang);
+	g_hash_table_unref(l->wait);
 	g_hash_table_unref(l->runner_by_id);
 	g_free(l->runner);
 	g_free(l->client);
@@ -1023,10 +1146,12 @@
 	l.stored = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 (GDestroyNotify)g_bytes_unref);
 	l.gang = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	l.wait = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l.client = g_new0(struct advisor_client, conf->advisor_clients);
 	add_queues(&l);
 	add_runners(&l);
 	new_scheduler(&l, NULL);
+	watch(&l, NULL);
 	for (uint32_t i = 0; i < conf->n_queue; i++) {
 		struct source *src = g_new0(struct source, 1);
 
--- a/tests/cell/load.h
+++ b/tests/cell/load.h
@@ -17,6 +17,8 @@
 #define LOAD_WINDOW_MS	  2000
 #define LOAD_WINDOWS_MAX  64
 #define LOAD_TAKEOVER_MAX 8
+#define LOAD_DONE_MS	  14000 /* the users' limit after the end of the traffic */
+#define LOAD_IDLE_MS	  3000	/* the users' limit while there is room */
 
 /* A queue and its jobs. Work and estimates are spread around their means. */
 struct load_queue {
@@ -58,6 +60,9 @@
 	uint32_t burst_milli;
 	uint32_t outage_at_s; /* no append is answered for outage_ms */
 	uint32_t outage_ms;
+	uint32_t slow_at_s; /* an append takes slow_ms for slow_s */
+	uint32_t slow_s;
+	uint32_t slow_ms;
 	uint32_t takeover_at_s[LOAD_TAKEOVER_MAX]; /* 0 for none */
 	uint32_t takeover_ms;			   /* between two schedulers */
 	struct load_queue queue[LOAD_QUEUES_MAX];
@@ -89,6 +94,15 @@
 	uint64_t examined; /* runners, in all passes */
 	uint32_t longest_pass_us;
 	uint32_t open_jobs; /* at the end of the traffic */
+	uint32_t left_jobs; /* open LOAD_DONE_MS after it, and without a run */
+	/* Longest time that a step of a late job waited for its first advice, or for more. */
+	uint32_t late_advice_ms;
+	/*
+	 * Longest time that a step waited without a run while less than half of the pool was in use
+	 * and the store was not slow, and how many steps did so for more than LOAD_IDLE_MS.
+	 */
+	uint32_t idle_ms;
+	uint32_t idle_steps;
 	uint32_t lost;	    /* runs */
 	uint64_t log_bytes; /* of progress */
 	uint32_t batches;
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -404,3 +404,113 @@
 	cr_expect_eq(asked, GANGS, "%u of them asked again", asked);
 	fixture_destroy(f);
 }
+
+/*
+ * Jobs in time come first at the advisor. While they keep it busy, late ones got no advice for 45 s
+ * though most of the runners were empty.
+ */
+struct late_case {
+	const char *what;
+	const char *queue; /* of all jobs */
+	uint32_t clients;
+	uint32_t busy;	       /* jobs in time that have come before */
+	uint32_t new_every_ms; /* jobs in time */
+	uint32_t request_ms;   /* until a request is answered */
+	uint32_t late;	       /* jobs */
+	uint32_t cpu_milli;    /* of a task in time; the pool has 40 runners of 1000 */
+	uint32_t longest_ms;   /* until all late ones have asked; 0 for no bound */
+};
+
+#define LATE_STEP_MS  10
+#define LATE_UNTIL_MS 20000
+
+static const struct late_case late_cases[] = {
+	{ "long requests", "slow", 7, 60, 50, 500, 1, 10, 4000 },
+	{ "long requests of several late jobs", "slow", 7, 60, 50, 500, 4, 10, 4000 },
+	{ "short requests", "quick", 2, 60, 10, 150, 1, 10, 3000 },
+	{ "a single client", "slow", 1, 4, 300, 500, 1, 10, 5000 },
+	{ "two clients", "slow", 2, 4, 300, 500, 1, 10, 5000 },
+	/* Jobs in time need what is left of the pool. */
+	{ "a pool in use", "slow", 7, 60, 50, 500, 1, 800, 0 },
+};
+
+/* A job whose objective ended long ago, or ends in 60 s. */
+static void submit_at(struct fixture *f, const struct late_case *c, uint32_t number, bool late)
+{
+	g_autofree char *id = g_strdup_printf("%c%015x", late ? 'a' : 'b', number);
+	Cell__Job *job = fixture_new_job(id, c->queue, 1, late ? 10 : c->cpu_milli);
+
+	job->accepted_ms = f->wall_ms - (late ? 120000 : 0);
+	job->objective_ms = late ? 1000 : 60000;
+	fixture_submit(f, job);
+}
+
+struct late_play {
+	const struct late_case *c;
+	struct fixture *f;
+	GArray *answer_ms; /* when the requests are answered, oldest first */
+	uint32_t asked;	   /* late jobs */
+};
+
+/* New requests are at the end of the list. */
+static void note_requests(struct late_play *p)
+{
+	while (p->answer_ms->len < p->f->advice->len) {
+		const struct fixture_advice *a =
+			&g_array_index(p->f->advice, struct fixture_advice, p->answer_ms->len);
+		int64_t at_ms = p->f->now_ms + p->c->request_ms;
+
+		p->asked += *a->step == 'a';
+		g_array_append_val(p->answer_ms, at_ms);
+	}
+}
+
+static void answer_requests(struct late_play *p)
+{
+	while (p->answer_ms->len && g_array_index(p->answer_ms, int64_t, 0) <= p->f->now_ms) {
+		fixture_advise(p->f, "", 2000);
+		g_array_remove_index(p->answer_ms, 0);
+	}
+}
+
+static int64_t play_late(const struct late_case *c)
+{
+	struct late_play p = { .c = c, .f = advised_fixture(40) };
+	int64_t waited_ms = 0;
+	uint32_t number = 0;
+
+	p.answer_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	scheduler_set_advisor_clients(p.f->sched, c->clients);
+	/* The advisor is busy when the late jobs come. */
+	for (; number < c->busy; number++)
+		submit_at(p.f, c, number, false);
+	fixture_advance(p.f, LATE_STEP_MS);
+	for (uint32_t i = 0; i < c->late; i++)
+		submit_at(p.f, c, i, true);
+	for (; waited_ms < LATE_UNTIL_MS && p.asked < c->late; waited_ms += LATE_STEP_MS) {
+		if (waited_ms % c->new_every_ms == 0)
+			submit_at(p.f, c, number++, false);
+		fixture_advance(p.f, LATE_STEP_MS);
+		note_requests(&p);
+		answer_requests(&p);
+		fixture_ack_batch(p.f);
+		fixture_accept_starts(p.f);
+	}
+	g_array_unref(p.answer_ms);
+	fixture_destroy(p.f);
+	return waited_ms;
+}
+
+Test(advice, late_steps_ask_in_bounded_time)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(late_cases); i++) {
+		int64_t waited_ms = play_late(&late_cases[i]);
+
+		if (late_cases[i].longest_ms)
+			cr_expect_leq(waited_ms, late_cases[i].longest_ms, "%s: %ld ms",
+				      late_cases[i].what, (long)waited_ms);
+		else
+			cr_expect_geq(waited_ms, LATE_UNTIL_MS, "%s: %ld ms", late_cases[i].what,
+				      (long)waited_ms);
+	}
+}
