--- a/tests/cell/test_load.c
+++ b/tests/cell/test_load.c
@@ -61,11 +61,13 @@
 	if (!g_getenv("KW_LOAD_PRINT"))
 		return;
 	g_print("worth %u; advice %u, %lu ms; starts %u, stopped %u, lost %u, wasted %u core-s; "
-		"stop orders %u; passes %u, examined %lu a pass, longest %u us; open jobs %u; log "
-		"%lu KB in %u batches\n",
+		"stop orders %u; passes %u, examined %lu a pass, longest %u us; open jobs %u, left "
+		"%u; late step without advice %u ms; step without a run though there is room %u "
+		"ms, %u steps; log %lu KB in %u batches\n",
 		r->worth_milli, r->advice_requests, (unsigned long)r->advice_ms, r->starts,
 		r->stopped, r->lost, r->wasted_core_s, r->stop_orders, r->passes,
 		(unsigned long)(r->examined / MAX(r->passes, 1)), r->longest_pass_us, r->open_jobs,
+		r->left_jobs, r->late_advice_ms, r->idle_ms, r->idle_steps,
 		(unsigned long)r->log_bytes / 1000, r->batches);
 	for (uint32_t i = 0; i < conf->n_queue; i++)
 		g_print("  %s: %u jobs, in time %u, late %u, mean %lu ms, first start %lu ms, %u "
