--- a/tests/cell/test_load_late.c
+++ b/tests/cell/test_load_late.c
@@ -51,8 +51,8 @@
 #define SMALL_SITE_SEEDS 8
 
 /*
- * The users' limits: no task whose turn has come waits for LOAD_IDLE_MS while there is room, and each
- * job has ended LOAD_DONE_MS after the traffic.
+ * The users' limits: no task whose turn has come waits for LOAD_IDLE_MS while there is room, and
+ * each job has ended LOAD_DONE_MS after the traffic.
  */
 Test(load_late, late_jobs_get_advice)
 {
