--- a/packages/node/process/loop_lag.c
+++ b/packages/node/process/loop_lag.c
@@ -7,7 +7,7 @@
 	int64_t lag_us = ((late_ms > 0 ? late_ms : 0) + took_ms) * 1000;
 
 	l->mean_us += (lag_us - l->mean_us) / WEIGHT;
-	if (l->mean_us <= LOOP_LAG_MAX_MS * 1000)
+	if (l->mean_us <= LOOP_LAG_MAX_MS * INT64_C(1000))
 		l->above_from_ms = 0;
 	else if (!l->above_from_ms)
 		l->above_from_ms = now_ms;
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -169,7 +169,7 @@
 	cr_expect_str_eq(teams_by_key(teams, "k2")->name, "t");
 	cr_expect_eq(teams_by_key(teams, "k1")->weight, 31);
 	cr_expect_eq(teams_by_key(teams, "k1")->cap.cpu_milli, 8000);
-	cr_expect_eq(teams_by_key(teams, "k1")->cap.mem_bytes, 2 * 1048576);
+	cr_expect_eq(teams_by_key(teams, "k1")->cap.mem_bytes, INT64_C(2) * 1048576);
 	cr_expect_eq(teams_by_key(teams, "k1")->cap.accel, 3);
 	cr_expect_eq(teams_find(teams, "u")->cap.cpu_milli, 0, "no limit");
 	cr_expect_null(teams_by_key(teams, "k3"));
