cell: the search for overdue steps has a file of its own

Change: overdue_steps.c finds the steps that have waited too long for advice; no change of behaviour. Result: cell_placement, cell_advice, cell_quota and cell_scheduler pass.

--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -110,6 +110,13 @@
 	       advice_ticket(ps->step->advice, rn->handle, pass->s->now_ms + ORDER_MARGIN_MS);
 }
 
+bool pending_step_is_waiting(const struct pass *pass, const struct cell_job *j,
+			     const struct job_step *step)
+{
+	return step->done + step->live_runs < step->spec->count &&
+	       cell_job_step_ready(j, step, pass->s->wall_ms);
+}
+
 bool pending_step_task_waits(const struct pass *pass, const struct job_task *task)
 {
 	return !task->done && !task->live_run && task->not_before_ms <= pass->s->now_ms;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -63,6 +63,9 @@
 /* pending_step_has_ticket - as is_approved, with a ticket that outlasts the start order. */
 bool pending_step_has_ticket(const struct pass *pass, const struct pending_step *ps,
 			     const struct cell_runner *rn);
+/* pending_step_is_waiting - true if tasks of the step wait whose turn has come. */
+bool pending_step_is_waiting(const struct pass *pass, const struct cell_job *j,
+			     const struct job_step *step);
 /* pending_step_task_waits - true if the task could start now, were there room. */
 bool pending_step_task_waits(const struct pass *pass, const struct job_task *task);
 /* pending_step_place - plans a run of the task on the runner, which has to have room. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -5,16 +5,16 @@
 #include "crash.h"
 #include "fair_order.h"
 #include "isolate.h"
+#include "overdue_steps.h"
 #include "reserve.h"
 #include "headroom.h"
 #include "step_room.h"
 
-#define STARTUP_WAIT_MS	     100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
-#define UNPLACED_IN_ROW_MAX  48	 /* steps without room, after which few others would find any */
-#define OVERDUE_SEARCHES_MAX 16	 /* steps per pass; each search visits the runners of a pool */
-#define GANGS_WAITING_MILLI  500 /* share of a pool that waiting gangs may claim, in 1/1000 */
-#define GANGS_WAITING_MIN    2	 /* that may wait, whatever they need */
-#define LARGE_FRACTION	     3	 /* a large task needs more than this fraction (1/n) of a runner */
+#define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
+#define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
+#define GANGS_WAITING_MILLI 500 /* share of a pool that waiting gangs may claim, in 1/1000 */
+#define GANGS_WAITING_MIN   2	/* that may wait, whatever they need */
+#define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
 {
@@ -517,13 +517,6 @@
 	place_on_candidates(pass, &ps, fn);
 }
 
-static bool step_waits(const struct pass *pass, const struct cell_job *j,
-		       const struct job_step *step)
-{
-	return step->done + step->live_runs < step->spec->count &&
-	       cell_job_step_ready(j, step, pass->s->wall_ms);
-}
-
 /* Before all others, which would take each runner as soon as it is empty. */
 static void place_isolated(struct pass *pass)
 {
@@ -533,7 +526,7 @@
 		if (!j->suspect || cell_job_has_ended(j))
 			continue;
 		for (uint32_t k = 0; k < j->n_step; k++)
-			if (step_waits(pass, j, &j->step[k]) &&
+			if (pending_step_is_waiting(pass, j, &j->step[k]) &&
 			    isolate_wanted(pass, j, &j->step[k]))
 				place_step(pass, j, &j->step[k], isolate_place);
 	}
@@ -544,60 +537,18 @@
 	if (cell_job_has_ended(j))
 		return;
 	for (uint32_t i = 0; i < j->n_step; i++)
-		if (step_waits(pass, j, &j->step[i]))
+		if (pending_step_is_waiting(pass, j, &j->step[i]))
 			place_step(pass, j, &j->step[i], place_any);
 }
 
-struct overdue {
-	struct cell_job *job;
-	struct job_step *step;
-};
-
-static int by_wait(gconstpointer a, gconstpointer b)
-{
-	int64_t x = ((const struct overdue *)a)->step->advice->waiting_since_ms;
-	int64_t y = ((const struct overdue *)b)->step->advice->waiting_since_ms;
-
-	return x < y ? -1 : x > y;
-}
-
-/* Where more is in use, the order of ranks decides what is left to late jobs. */
-static bool has_much_room(const struct pass_pool *pool)
-{
-	return pool->used.cpu_milli * 2 <= pool->capacity.cpu_milli &&
-	       pool->used.mem_bytes * 2 <= pool->capacity.mem_bytes;
-}
-
-/* Adds the overdue steps of the job. Returns true if requests for them are long. */
-static bool add_overdue(const struct pass *pass, struct cell_job *j, GArray *out)
-{
-	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
-	const struct pass_pool *pool =
-		g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
-	guint before = out->len;
-
-	if (cell_job_has_ended(j) || !pool || !has_much_room(pool))
-		return false;
-	for (uint32_t k = 0; k < j->n_step; k++) {
-		struct overdue o = { j, &j->step[k] };
-
-		if (advice_request_is_overdue(pass->s, o.step) && step_waits(pass, j, o.step))
-			g_array_append_val(out, o);
-	}
-	return out->len > before && advice_request_is_long(q);
-}
-
 /* Last, since only room that is left for a step makes its advice of use. */
 static void serve_overdue(struct pass *pass)
 {
-	g_autoptr(GArray) overdue = g_array_new(FALSE, FALSE, sizeof(struct overdue));
-	bool any_long = false;
+	bool any_long;
+	g_autoptr(GArray) overdue = overdue_steps_find(pass, &any_long);
 
-	for (guint i = 0; i < pass->s->open_jobs->len; i++)
-		any_long |= add_overdue(pass, pass->s->open_jobs->pdata[i], overdue);
-	g_array_sort(overdue, by_wait);
-	for (guint i = 0; i < overdue->len && i < OVERDUE_SEARCHES_MAX; i++) {
-		const struct overdue *o = &g_array_index(overdue, struct overdue, i);
+	for (guint i = 0; i < overdue->len; i++) {
+		const struct overdue_step *o = &g_array_index(overdue, struct overdue_step, i);
 
 		place_step(pass, o->job, o->step, place_overdue);
 	}
