bench: the record of teams is made beside the tests of the platform's format

Cause: bench_teams built a configuration with the platform's names, which belong into platform/ and its tests. Change: tests/platform/teamsrecord makes it.

--- a/bench/bench_teams.c
+++ b/bench/bench_teams.c
@@ -3,11 +3,11 @@
  * and processor time of reading it and of finding the team of a key.
  */
 #include <glib.h>
-#include <json-glib/json-glib.h>
 
 #include "bench.h"
 #include "decode.h"
 #include "jsonread.h"
+#include "teamsrecord.h"
 
 #define KEYS_PER_TEAM 2
 #define PER	      "keys, two for each team"
@@ -25,65 +25,6 @@
 	GPtrArray *key; /* of LOOKUPS strings, spread over all keys */
 };
 
-static char *make_key(uint32_t i)
-{
-	return g_strdup_printf("key-%016x", i * 2654435761U);
-}
-
-static void add_int(JsonBuilder *b, const char *name, int64_t value)
-{
-	json_builder_set_member_name(b, name);
-	json_builder_add_int_value(b, value);
-}
-
-static void add_team(JsonBuilder *b, uint32_t i)
-{
-	g_autofree char *name = g_strdup_printf("team-%05u", i);
-
-	json_builder_begin_object(b);
-	json_builder_set_member_name(b, "name");
-	json_builder_add_string_value(b, name);
-	json_builder_set_member_name(b, "keys");
-	json_builder_begin_array(b);
-	for (uint32_t k = 0; k < KEYS_PER_TEAM; k++) {
-		g_autofree char *key = make_key(i * KEYS_PER_TEAM + k);
-
-		json_builder_add_string_value(b, key);
-	}
-	json_builder_end_array(b);
-	add_int(b, "weight", 4);
-	json_builder_set_member_name(b, "cap");
-	json_builder_begin_object(b);
-	add_int(b, "cpu", 640000);
-	add_int(b, "mem-mb", 2048000);
-	add_int(b, "gpu", 16);
-	json_builder_end_object(b);
-	json_builder_end_object(b);
-}
-
-/* Only the teams: routes and pools don't depend on them. */
-static void make_record(struct subject *s)
-{
-	g_autoptr(JsonBuilder) b = json_builder_new();
-	g_autoptr(JsonGenerator) generator = json_generator_new();
-	g_autoptr(JsonNode) root = NULL;
-
-	json_builder_begin_object(b);
-	add_int(b, "version", 7);
-	json_builder_set_member_name(b, "routes");
-	json_builder_begin_array(b);
-	json_builder_end_array(b);
-	json_builder_set_member_name(b, "tenants");
-	json_builder_begin_array(b);
-	for (uint32_t i = 0; i < s->keys / KEYS_PER_TEAM; i++)
-		add_team(b, i);
-	json_builder_end_array(b);
-	json_builder_end_object(b);
-	root = json_builder_get_root(b);
-	json_generator_set_root(generator, root);
-	s->record = json_generator_to_data(generator, &s->size);
-}
-
 static void read_record(void *ctx)
 {
 	struct subject *s = ctx;
@@ -135,9 +76,9 @@
 {
 	struct subject s = { .keys = keys, .key = g_ptr_array_new_with_free_func(g_free) };
 
-	make_record(&s);
+	s.record = teams_record_create(s.keys, KEYS_PER_TEAM, &s.size);
 	for (uint32_t i = 0; i < LOOKUPS; i++)
-		g_ptr_array_add(s.key, make_key(i * 7919 % keys));
+		g_ptr_array_add(s.key, teams_record_key(i * 7919 % keys));
 	if (!bench_under_callgrind()) {
 		print_bytes("teams_record_bytes", keys, (double)s.size);
 		measure_memory(&s);
