node: a progress batch waits for the one that it overtook

Cause: the store refuses a batch that reaches it before an earlier one. The refused batch was sent again after a fixed pause, and each new batch overtook the repeated one in its turn. Besides, a refusal that arrived after the earlier batch was stored was taken for the sign of a newer scheduler, so the scheduler stepped down.

Change: a batch is sent once the one before it is in flight; after such a refusal it is sent as soon as the earlier one is stored. Only a batch that was first in the queue when it was sent proves a newer scheduler.

Result: both new tests failed before (40 appends for 20 batches; stepped down).

--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -23,6 +23,7 @@
 	uint64_t seq;
 	GPtrArray *records;
 	bool sent;
+	bool overtook;	/* it reached the store before an earlier batch, and was refused */
 	int64_t due_ms; /* earliest time to send it again */
 };
 
@@ -31,6 +32,7 @@
 	struct joblog *log;
 	uint64_t term;
 	uint64_t number;
+	bool first; /* no earlier batch was waiting when it was sent */
 	int64_t sent_ms;
 };
 
@@ -102,12 +104,15 @@
 	return NULL;
 }
 
+static void send_due_batches(struct joblog *j, int64_t now);
+
 /* The store checks sequence numbers, so all earlier batches are stored too. */
 static void batch_stored(struct joblog *j, uint64_t number)
 {
 	j->first_batch_stored = true;
 	while (j->batch->len && ((struct batch *)j->batch->pdata[0])->number <= number)
 		g_ptr_array_remove_index(j->batch, 0);
+	send_due_batches(j, node_now_ms());
 	j->ops->written(j->ctx, number);
 }
 
@@ -116,6 +121,7 @@
 	struct batch_call *call = ctx;
 	struct joblog *j = call->log;
 	struct batch *b = j->leading && call->term == j->term ? find_batch(j, call->number) : NULL;
+	bool first = call->first;
 
 	joblog_record_append(j, result, node_now_ms() - call->sent_ms);
 	g_free(call);
@@ -124,13 +130,14 @@
 	b->sent = false;
 	if (result == STORE_OK) {
 		batch_stored(j, b->number);
-	} else if (result == STORE_FENCED ||
-		   (result == STORE_OUT_OF_SEQUENCE && b == j->batch->pdata[0])) {
+	} else if (result == STORE_FENCED || (result == STORE_OUT_OF_SEQUENCE && first)) {
 		log_warn("append", NULL, "a newer scheduler writes the progress");
 		g_ptr_array_set_size(j->batch, 0);
 		j->ops->fenced(j->ctx);
+	} else if (result == STORE_OUT_OF_SEQUENCE) {
+		b->overtook = true;
+		send_due_batches(j, node_now_ms());
 	} else {
-		/* If out of sequence, the batch before it was lost and has to be stored first. */
 		b->due_ms = node_now_ms() + RETRY_MS;
 	}
 }
@@ -143,9 +150,11 @@
 				    .seq = b->seq };
 	struct batch_call *call = g_new(struct batch_call, 1);
 
-	*call = (struct batch_call){
-		.log = j, .term = j->term, .number = b->number, .sent_ms = node_now_ms()
-	};
+	*call = (struct batch_call){ .log = j,
+				     .term = j->term,
+				     .number = b->number,
+				     .first = b == j->batch->pdata[0],
+				     .sent_ms = node_now_ms() };
 	b->sent = true;
 	j->store.ops->append(j->store.impl, TOPIC, JOBLOG_PROGRESS, b->records, &cond,
 			     joblog_append_timeout(j), on_batch_appended, call);
@@ -154,10 +163,29 @@
 /*
  * The store accepts any sequence number in the first batch of a term. If the first batch was lost,
  * it would accept the second one in its place.
+ *
+ * Later it refuses a batch that overtakes an earlier one. So a batch follows the one before it, and
+ * after a refusal it waits until that one is stored. If it were sent again after a fixed time, each
+ * new batch would overtake the repeated one, and all batches would be sent twice from then on.
  */
-static bool may_send(const struct joblog *j, const struct batch *b)
+static bool may_send(const struct joblog *j, guint index)
 {
-	return !b->sent && (j->first_batch_stored || b == j->batch->pdata[0]);
+	const struct batch *b = j->batch->pdata[index];
+	const struct batch *prior = index ? j->batch->pdata[index - 1] : NULL;
+
+	if (b->sent)
+		return false;
+	return !prior || (j->first_batch_stored && prior->sent && !b->overtook);
+}
+
+static void send_due_batches(struct joblog *j, int64_t now)
+{
+	for (guint i = 0; i < j->batch->len; i++) {
+		struct batch *b = j->batch->pdata[i];
+
+		if (may_send(j, i) && b->due_ms <= now)
+			send_batch(j, b);
+	}
 }
 
 /* Deletes come before the batch's own records, since a deleted job may have been added again. */
@@ -181,7 +209,7 @@
 	b->records = records;
 	add_progress_deletes(j, records);
 	g_ptr_array_add(j->batch, b);
-	if (may_send(j, b))
+	if (may_send(j, j->batch->len - 1))
 		send_batch(j, b);
 }
 
@@ -302,12 +330,7 @@
 			send_fence(j);
 		return;
 	}
-	for (guint i = 0; i < j->batch->len; i++) {
-		struct batch *b = j->batch->pdata[i];
-
-		if (may_send(j, b) && b->due_ms <= now)
-			send_batch(j, b);
-	}
+	send_due_batches(j, now);
 }
 
 void joblog_tick(struct joblog *j)
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -422,18 +422,26 @@
 	g_hash_table_remove(c->held, part_key);
 }
 
+static void execute_and_hold(struct fake_client *c, struct call *call)
+{
+	if (call->kind != CALL_APPEND || call->held)
+		return;
+	call->held = true;
+	call->computed = true;
+	call->computed_result =
+		do_append(find_part(c->log, call->part_key), call, &call->computed_end);
+}
+
 void fake_hold_appends(struct fake_client *c)
 {
-	for (guint i = 0; i < c->call->len; i++) {
-		struct call *call = c->call->pdata[i];
+	for (guint i = 0; i < c->call->len; i++)
+		execute_and_hold(c, c->call->pdata[i]);
+}
 
-		if (call->kind != CALL_APPEND || call->held)
-			continue;
-		call->held = true;
-		call->computed = true;
-		call->computed_result =
-			do_append(find_part(c->log, call->part_key), call, &call->computed_end);
-	}
+void fake_overtake_appends(struct fake_client *c)
+{
+	for (guint i = c->call->len; i > 0; i--)
+		execute_and_hold(c, c->call->pdata[i - 1]);
 }
 
 void fake_delay_appends(struct fake_client *c)
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -43,6 +43,8 @@
  * fake_release_appends().
  */
 void fake_hold_appends(struct fake_client *c);
+/* fake_overtake_appends - as fake_hold_appends(), but the newest append is executed first. */
+void fake_overtake_appends(struct fake_client *c);
 /* fake_delay_appends - executes the queued appends only after fake_release_appends(). */
 void fake_delay_appends(struct fake_client *c);
 void fake_release_appends(struct fake_client *c);
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -293,6 +293,67 @@
 	}
 }
 
+/*
+ * After an outage of the store: the repeated first batch was overtaken by the next one, which the
+ * store refused and which was repeated in its turn. This went on for as long as batches came, so
+ * that each start waited for two appends and a pause.
+ */
+Test(joblog, one_refusal_does_not_delay_all_later_batches)
+{
+	static const int64_t spacing_ms[] = { 40, 60, 100 };
+	const uint32_t batches = 20;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spacing_ms); i++) {
+		struct fixture f = { 0 };
+		uint32_t calls;
+
+		setup(&f, fake_log_create());
+		advance(&f, 100);
+		begin_term(&f, 5);
+		joblog_write(f.joblog, 1, progress_batch(JOB_RUNNING, 1));
+		advance(&f, 40);
+		calls = fake_append_calls(f.client);
+		fake_set_mode(f.client, FAKE_REFUSES);
+		for (uint32_t k = 2; k < batches + 2; k++) {
+			joblog_write(f.joblog, k, progress_batch(JOB_RUNNING, k));
+			fake_serve(f.log);
+			fake_set_mode(f.client, FAKE_OK);
+			advance(&f, spacing_ms[i]);
+		}
+		advance(&f, 100);
+		cr_expect_eq(f.written, batches + 1, "%" G_GINT64_FORMAT " ms", spacing_ms[i]);
+		calls = fake_append_calls(f.client) - calls;
+		/* The refused one is sent twice, and so may be the one that overtakes it. */
+		cr_expect_leq(calls, batches + 2, "%" G_GINT64_FORMAT " ms: %u calls",
+			      spacing_ms[i], calls);
+		teardown(&f);
+	}
+}
+
+/*
+ * A batch overtook the one before it and was refused; the answer came after that one was stored.
+ * The scheduler took it for the sign of a newer scheduler and stepped down.
+ */
+Test(joblog, a_late_refusal_for_overtaking_is_no_fence)
+{
+	struct fixture f = { 0 };
+
+	setup(&f, fake_log_create());
+	advance(&f, 100);
+	begin_term(&f, 5);
+	joblog_write(f.joblog, 1, progress_batch(JOB_RUNNING, 1));
+	advance(&f, 40);
+	joblog_write(f.joblog, 2, progress_batch(JOB_RUNNING, 2));
+	joblog_write(f.joblog, 3, progress_batch(JOB_RUNNING, 3));
+	fake_overtake_appends(f.client);
+	fake_release_appends(f.client);
+	advance(&f, 100);
+	cr_expect_eq(f.fenced, 0);
+	cr_expect_eq(f.written, 3);
+	cr_expect_eq(fake_record_count(f.log, TOPIC, JOBLOG_PROGRESS), 3);
+	teardown(&f);
+}
+
 /*
  * A new scheduler with a store that loses answers (deploy/days/odd-2.toml, rule TWICE). Its first
  * batch was lost and the second stored in its place, which looked as if both were stored. Ends of
