cell: gangs leave no headroom

Hypothesis: a step with 5 s to spare leaves 15% of each runner free for urgent work.

Change: the headroom is a matter of the step, and gangs are exempt.

The new test failed before (0 starts instead of 4).

--- a/packages/cell/process/headroom.c
+++ b/packages/cell/process/headroom.c
@@ -1,12 +1,14 @@
 #include "job_rank.h"
 #include "headroom.h"
 
-uint32_t headroom_milli(const struct cell_job *j, const struct queues *q, int64_t wall_ms)
+uint32_t headroom_milli(const struct cell_job *j, const struct job_step *step,
+			const struct queues *q, int64_t wall_ms)
 {
 	const struct queue *own = queues_find(q, j->spec->queue);
 	const char *service = own ? own->service : j->spec->service;
 
-	if (cell_job_has_lasting_step(j) || !queues_more_urgent(q, service, j->spec->priority))
+	if (step->spec->gang || cell_job_has_lasting_step(j) ||
+	    !queues_more_urgent(q, service, j->spec->priority))
 		return 0;
 	return job_slack_ms(j, wall_ms) >= HEADROOM_SLACK_MS ? HEADROOM_MILLI : 0;
 }
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -454,7 +454,7 @@
 	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
 
 	ps->candidates = candidates;
-	ps->headroom_milli = headroom_milli(ps->job, pass->s->queues, pass->s->wall_ms);
+	ps->headroom_milli = headroom_milli(ps->job, ps->step, pass->s->queues, pass->s->wall_ms);
 	collect_candidates(pass, ps);
 	ps->large = is_large(ps);
 	fn(pass, ps);
--- a/tests/cell/test_headroom.c
+++ b/tests/cell/test_headroom.c
@@ -83,6 +83,50 @@
 	fixture_destroy(f);
 }
 
+/*
+ * A pool with 80% in use, where small tasks leave each runner 15% to 20%. Gangs with time to spare
+ * waited until they had less than HEADROOM_SLACK_MS left, and were late if anything else went
+ * wrong.
+ */
+Test(headroom, a_gang_starts_in_the_room_that_small_tasks_leave)
+{
+	enum { RUNNERS = 4 };
+	static const struct {
+		const char *what;
+		bool gang;
+		uint32_t starts; /* of RUNNERS tasks */
+	} cases[] = { { "a gang", true, RUNNERS }, { "single tasks", false, 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = mixed_fixture();
+		Cell__Job *job;
+		uint32_t before;
+
+		for (int k = 1; k < RUNNERS; k++) {
+			g_autofree char *id = g_strdup_printf("q%d", k);
+
+			fixture_add_runner(f, id, "desk", "rack0", 1000, 0);
+		}
+		fixture_advance(f, 1);
+		fixture_poll_all(f);
+		fixture_submit(f, long_job(f, ID_A, "batch", 8 * RUNNERS));
+		fixture_advance(f, 1);
+		fixture_ack_batch(f);
+		before = f->starts;
+		cr_assert_eq(before, 8 * RUNNERS, "the small tasks leave the headroom");
+		job = long_job(f, ID_B, "batch", RUNNERS);
+		job->step[0]->cpu_milli = 180;
+		job->step[0]->gang = cases[i].gang;
+		fixture_submit(f, job);
+		fixture_advance(f, 1);
+		if (f->batch)
+			fixture_ack_batch(f);
+		cr_expect_eq(f->starts - before, cases[i].starts, "%s: %u starts", cases[i].what,
+			     f->starts - before);
+		fixture_destroy(f);
+	}
+}
+
 struct neighbour_case {
 	const char *what;
 	bool first_is_filler;
