--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -286,24 +286,15 @@
 	}
 }
 
-static bool exceeds_share(int64_t need, int64_t capacity)
-{
-	return need * 1000 > capacity * GANGS_WAITING_MILLI;
-}
-
 /*
  * Whether the gangs that wait before this one need more of the pool than will soon be free. A gang
  * beyond that would only renew tickets that expire unused.
  */
 static bool is_crowded_out(const struct pending_step *ps)
 {
-	const struct resources *gangs = &ps->pool->gangs;
-
 	if (ps->pool->waiting_gangs < GANGS_WAITING_MIN)
 		return false;
-	return exceeds_share(gangs->cpu_milli, ps->pool->capacity.cpu_milli) ||
-	       exceeds_share(gangs->mem_bytes, ps->pool->capacity.mem_bytes) ||
-	       exceeds_share(gangs->accel, ps->pool->capacity.accel);
+	return resources_exceed_share(&ps->pool->gangs, &ps->pool->capacity, GANGS_WAITING_MILLI);
 }
 
 /* Whether the runners that are not denied could hold the gang if they were empty. */
--- a/packages/cell/request/resources.c
+++ b/packages/cell/request/resources.c
@@ -13,3 +13,16 @@
 	from->mem_bytes -= what->mem_bytes;
 	from->accel -= what->accel;
 }
+
+static bool exceeds(int64_t part, int64_t whole, uint32_t share_milli)
+{
+	return part * 1000 > whole * share_milli;
+}
+
+bool resources_exceed_share(const struct resources *part, const struct resources *whole,
+			    uint32_t share_milli)
+{
+	return exceeds(part->cpu_milli, whole->cpu_milli, share_milli) ||
+	       exceeds(part->mem_bytes, whole->mem_bytes, share_milli) ||
+	       exceeds(part->accel, whole->accel, share_milli);
+}
--- a/packages/cell/request/resources.h
+++ b/packages/cell/request/resources.h
@@ -16,6 +16,9 @@
 
 void resources_add(struct resources *to, const struct resources *what);
 void resources_sub(struct resources *from, const struct resources *what);
+/* resources_exceed_share - true if any part is more than that share of whole, in 1/1000. */
+bool resources_exceed_share(const struct resources *part, const struct resources *whole,
+			    uint32_t share_milli);
 
 /* Inline: called for each runner and step in each placement pass. */
 static inline bool resources_fits(const struct resources *need, const struct resources *free)
