cell: placement of gangs has a file of its own

Gangs move to gang_placement.c, and what both need (the runner that a task avoids, the team's cap that is held for a step) to pending_step.c.

--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -147,3 +147,30 @@
 		return x.accel > y.accel ? -1 : 1;
 	return x.cpu_milli > y.cpu_milli ? -1 : x.cpu_milli < y.cpu_milli;
 }
+
+uint32_t pending_step_avoided_runner(const struct pass *pass, const struct pending_step *ps,
+				     const struct job_task *task)
+{
+	if (task->avoid_until_ms <= pass->s->now_ms)
+		return 0;
+	if (!ps->advised || task->avoid_until_ms - pass->s->now_ms > AVOID_MS - AVOID_ONLY_MS)
+		return task->avoid_runner;
+	for (guint i = 0; i < ps->candidates->len; i++)
+		if (((const struct cell_runner *)ps->candidates->pdata[i])->handle + 1 !=
+		    task->avoid_runner)
+			return task->avoid_runner;
+	return 0;
+}
+
+uint32_t pending_step_tasks_at_once(const struct pending_step *ps)
+{
+	return ps->step->spec->gang ? ps->step->spec->count : 1;
+}
+
+void pending_step_hold_cap(const struct pass *pass, const struct pending_step *ps)
+{
+	struct resources need = team_use_need(ps->step->spec);
+
+	team_use_hold(pass->s->team_use, ps->job->spec->team, &need,
+		      pending_step_tasks_at_once(ps));
+}
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -75,4 +75,15 @@
 /* pending_step_by_free - compares runners (struct cell_runner **) to sort the freest first. */
 int pending_step_by_free(gconstpointer a, gconstpointer b);
 
+/*
+ * pending_step_avoided_runner - handle + 1 of the runner that the task avoids, 0 for none. Where no
+ * other runner is approved, waiting longer than AVOID_ONLY_MS costs more than a second failure.
+ */
+uint32_t pending_step_avoided_runner(const struct pass *pass, const struct pending_step *ps,
+				     const struct job_task *task);
+/* pending_step_tasks_at_once - all members of a gang, or one task of another step. */
+uint32_t pending_step_tasks_at_once(const struct pending_step *ps);
+/* pending_step_hold_cap - later steps of the team must not use what its cap has left for this. */
+void pending_step_hold_cap(const struct pass *pass, const struct pending_step *ps);
+
 #endif
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -4,6 +4,7 @@
 #include "advice_request.h"
 #include "crash.h"
 #include "fair_order.h"
+#include "gang_placement.h"
 #include "isolate.h"
 #include "overdue_steps.h"
 #include "reserve.h"
@@ -12,8 +13,6 @@
 
 #define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
 #define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
-#define GANGS_WAITING_MILLI 500 /* share of a pool that waiting gangs may claim, in 1/1000 */
-#define GANGS_WAITING_MIN   2	/* that may wait, whatever they need */
 #define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
@@ -87,24 +86,6 @@
 	}
 }
 
-/*
- * Handle + 1 of the runner that the task avoids, 0 for none. Where no other runner is approved,
- * waiting longer than AVOID_ONLY_MS costs more than a second failure.
- */
-static uint32_t runner_to_avoid(const struct pass *pass, const struct pending_step *ps,
-				const struct job_task *task)
-{
-	if (task->avoid_until_ms <= pass->s->now_ms)
-		return 0;
-	if (!ps->advised || task->avoid_until_ms - pass->s->now_ms > AVOID_MS - AVOID_ONLY_MS)
-		return task->avoid_runner;
-	for (guint i = 0; i < ps->candidates->len; i++)
-		if (((const struct cell_runner *)ps->candidates->pdata[i])->handle + 1 !=
-		    task->avoid_runner)
-			return task->avoid_runner;
-	return 0;
-}
-
 /*
  * Small tasks take each part of a runner as soon as it is free, so that a large task of higher rank
  * would starve.
@@ -123,7 +104,7 @@
 static bool is_possible(const struct pass *pass, const struct pending_step *ps,
 			const struct job_task *task)
 {
-	uint32_t avoid = runner_to_avoid(pass, ps, task);
+	uint32_t avoid = pending_step_avoided_runner(pass, ps, task);
 
 	for (guint i = 0; i < ps->candidates->len; i++) {
 		const struct cell_runner *rn = ps->candidates->pdata[i];
@@ -138,27 +119,13 @@
 static struct cell_runner *find_room(const struct pass *pass, const struct pending_step *ps,
 				     const struct step_room *room, const struct job_task *task)
 {
-	uint32_t avoid = runner_to_avoid(pass, ps, task);
+	uint32_t avoid = pending_step_avoided_runner(pass, ps, task);
 
 	if (crash_isolation(task) != CRASH_ISOLATION_NONE)
 		return step_room_emptiest(room, avoid, task->crash_host);
 	return step_room_best(room, avoid);
 }
 
-/* Need of a gang, or of one task of another step. */
-static uint32_t tasks_at_once(const struct pending_step *ps)
-{
-	return ps->step->spec->gang ? ps->step->spec->count : 1;
-}
-
-/* Later steps of the team must not use what its cap has left for this one. */
-static void hold_cap(const struct pass *pass, const struct pending_step *ps)
-{
-	struct resources need = team_use_need(ps->step->spec);
-
-	team_use_hold(pass->s->team_use, ps->job->spec->team, &need, tasks_at_once(ps));
-}
-
 static void count_held_back(struct pass *pass, const struct pending_step *ps, uint32_t tasks)
 {
 	pass->s->stats.tasks_held_back += tasks;
@@ -204,7 +171,7 @@
 		ps->pool->unplaced_in_row++;
 	count_held_back(pass, ps, held_back);
 	if (held_back && ps->candidates->len)
-		hold_cap(pass, ps);
+		pending_step_hold_cap(pass, ps);
 	if (!waiting)
 		return;
 	if (ps->advised)
@@ -214,146 +181,7 @@
 	else if (!possible && ps->large)
 		make_room(pass, ps, waiting);
 	if (!possible && ps->large && ps->candidates->len)
-		hold_cap(pass, ps);
-}
-
-/* Finds runners for all members in rack (NULL for any); reserves nothing. */
-static bool find_gang(const struct pass *pass, const struct pending_step *ps, const char *rack,
-		      bool ticketed, struct cell_runner **out)
-{
-	struct step_room *room = step_room_create(pass, ps, rack, ticketed);
-	uint32_t count = ps->step->spec->count;
-	uint32_t n = 0;
-
-	if (!step_room_holds(room, count)) {
-		step_room_destroy(room);
-		return false;
-	}
-	for (; n < count; n++) {
-		const struct job_task *task = &ps->job->task[ps->step->first_task + n];
-
-		out[n] = step_room_best(room, runner_to_avoid(pass, ps, task));
-		if (!out[n])
-			break;
-		resources_add(&out[n]->reserved, &ps->need);
-		step_room_taken(room, out[n]);
-	}
-	for (uint32_t i = 0; i < n; i++)
-		resources_sub(&out[i]->reserved, &ps->need);
-	step_room_destroy(room);
-	return n == count;
-}
-
-/* Whether a runner before the i-th one is in the same rack. */
-static bool rack_was_tried(const struct pending_step *ps, guint i)
-{
-	const struct cell_runner *rn = ps->candidates->pdata[i];
-
-	for (guint k = 0; k < i; k++)
-		if (g_strcmp0(((const struct cell_runner *)ps->candidates->pdata[k])->rack,
-			      rn->rack) == 0)
-			return true;
-	return false;
-}
-
-static bool find_gang_rack(const struct pass *pass, const struct pending_step *ps, bool ticketed,
-			   struct cell_runner **out)
-{
-	if (!ps->step->spec->one_rack)
-		return find_gang(pass, ps, NULL, ticketed, out);
-	for (guint i = 0; i < ps->candidates->len; i++) {
-		const struct cell_runner *rn = ps->candidates->pdata[i];
-
-		if (rn->rack && !rack_was_tried(ps, i) &&
-		    find_gang(pass, ps, rn->rack, ticketed, out))
-			return true;
-	}
-	return false;
-}
-
-/* The members of a gang share their run number. */
-static void place_members(struct pass *pass, const struct pending_step *ps,
-			  struct cell_runner **members)
-{
-	uint32_t first = ps->step->first_task;
-	uint32_t last = 0;
-
-	for (uint32_t i = 0; i < ps->step->spec->count; i++)
-		last = MAX(last, ps->job->task[first + i].last_run);
-	for (uint32_t i = 0; i < ps->step->spec->count; i++) {
-		ps->job->task[first + i].last_run = last;
-		pending_step_place(pass, ps, first + i, members[i]);
-	}
-}
-
-/*
- * Whether the gangs that wait before this one need more of the pool than will soon be free. A gang
- * beyond that would only renew tickets that expire unused.
- */
-static bool is_crowded_out(const struct pending_step *ps)
-{
-	if (ps->pool->waiting_gangs < GANGS_WAITING_MIN)
-		return false;
-	return resources_exceed_share(&ps->pool->gangs, &ps->pool->capacity, GANGS_WAITING_MILLI);
-}
-
-/* Whether the runners that are not denied could hold the gang if they were empty. */
-static bool can_ever_be_held(const struct pending_step *ps)
-{
-	uint32_t places = 0;
-
-	for (guint i = 0; i < ps->candidates->len && places < ps->step->spec->count; i++) {
-		const struct cell_runner *rn = ps->candidates->pdata[i];
-
-		places += MIN(pending_step_places(ps, &rn->capacity),
-			      ps->step->spec->spread_max ? ps->step->spec->spread_max : UINT32_MAX);
-	}
-	return places >= ps->step->spec->count;
-}
-
-static void add_waiting_gang(const struct pending_step *ps)
-{
-	ps->pool->waiting_gangs++;
-	for (uint32_t i = 0; i < ps->step->spec->count; i++)
-		resources_add(&ps->pool->gangs, &ps->need);
-}
-
-static void place_gang(struct pass *pass, const struct pending_step *ps)
-{
-	const Cell__Step *spec = ps->step->spec;
-	g_autofree struct cell_runner **members = NULL;
-	bool crowded;
-	bool possible;
-	bool reserved;
-
-	for (uint32_t i = 0; i < spec->count; i++)
-		if (!pending_step_task_waits(pass, &ps->job->task[ps->step->first_task + i]))
-			return;
-	members = g_new0(struct cell_runner *, spec->count);
-	if (find_gang_rack(pass, ps, true, members)) {
-		place_members(pass, ps, members);
-		return;
-	}
-	pass->s->stats.gangs_waiting++;
-	pass->s->stats.waiting_tasks += spec->count;
-	/* It must not keep others waiting. */
-	if (!can_ever_be_held(ps))
-		return;
-	crowded = is_crowded_out(ps);
-	add_waiting_gang(ps);
-	if (crowded && ps->step->advice && ps->step->advice->answered)
-		return;
-	possible = find_gang_rack(pass, ps, false, members);
-	if (ps->advised)
-		advice_request_send(pass, ps, possible);
-	if (crowded)
-		return;
-	hold_cap(pass, ps);
-	reserved = (!possible && reserve_by_preemption(pass, ps, spec->count)) ||
-		   (ps->advised && reserve_on_approved(ps, spec->count)) ||
-		   reserve_on_freest(ps, spec->count);
-	if (reserved && !possible && ps->advised)
-		advice_request_renew(pass, ps);
+		pending_step_hold_cap(pass, ps);
 }
 
 /* Whether a task needs more than 1 / LARGE_FRACTION of most of its candidates. */
@@ -376,7 +204,7 @@
 static void place_any(struct pass *pass, const struct pending_step *ps)
 {
 	if (ps->step->spec->gang)
-		place_gang(pass, ps);
+		gang_placement_run(pass, ps);
 	else
 		place_tasks(pass, ps);
 }
@@ -418,7 +246,7 @@
 	if (!spec->gang)
 		return ps->candidates->len > 0;
 	return scheduler_team_limit(pass->s, ps->job, &limit) &&
-	       team_use_can_hold(&limit, &need, spec->count) && can_ever_be_held(ps);
+	       team_use_can_hold(&limit, &need, spec->count) && gang_placement_fits_pool(ps);
 }
 
 /* A step that has to wait until its team uses less. */
@@ -432,12 +260,13 @@
 	if (step->spec->gang && step->live_runs)
 		return;
 	count_held_back(pass, ps, step->spec->count - step->done - step->live_runs);
-	if (team_use_holds(pass->s->team_use, ps->job->spec->team, &need, tasks_at_once(ps)))
+	if (team_use_holds(pass->s->team_use, ps->job->spec->team, &need,
+			   pending_step_tasks_at_once(ps)))
 		return;
 	ps->candidates = candidates;
 	collect_candidates(pass, ps);
 	if (could_run(pass, ps))
-		hold_cap(pass, ps);
+		pending_step_hold_cap(pass, ps);
 }
 
 static void place_on_candidates(struct pass *pass, struct pending_step *ps, place_fn fn)
@@ -455,11 +284,8 @@
 static void place_overdue(struct pass *pass, const struct pending_step *ps)
 {
 	const Cell__Step *spec = ps->step->spec;
-	g_autofree struct cell_runner **members = g_new0(struct cell_runner *, spec->count);
-	bool possible = false;
+	bool possible = spec->gang && gang_placement_has_room(pass, ps);
 
-	if (spec->gang)
-		possible = can_ever_be_held(ps) && find_gang_rack(pass, ps, false, members);
 	for (uint32_t i = 0; i < spec->count && !spec->gang && !possible; i++) {
 		const struct job_task *task = &ps->job->task[ps->step->first_task + i];
 
