--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -11,10 +11,9 @@
 struct pass_pool {
 	const char *service;
 	GPtrArray *runners;
-	struct resources capacity;     /* of all runners */
-	struct resources used;	       /* on all runners */
-	struct resources gangs;	       /* need of the gangs that wait, of those visited so far */
-	struct resources accumulating; /* of gangs: room that is held until it is large enough */
+	struct resources capacity; /* of all runners */
+	struct resources used;	   /* on all runners */
+	struct resources gangs;	   /* need of the gangs that wait, of those visited so far */
 	uint32_t waiting_gangs;
 	uint32_t reserving_steps;  /* steps that have reserved room */
 	uint32_t preempt_searches; /* for room that preemption could make */
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -2,9 +2,7 @@
 #include "job_rank.h"
 #include "reserve.h"
 
-#define RESERVING_STEPS_MAX 2 /* steps of a pool that reserve room while they wait */
-/* Share of a pool, in 1/1000, beyond which no further gang accumulates room, which is idle. */
-#define ACCUMULATING_MILLI   250
+#define RESERVING_STEPS_MAX  2	/* steps of a pool that reserve room while they wait */
 #define PREEMPTING_STEPS_MAX 6	/* steps of a pool for which runs are stopped in one pass */
 #define PREEMPT_SEARCHES_MAX 12 /* per pool and pass; each search visits all runs of the pool */
 
@@ -73,26 +71,6 @@
 	return out;
 }
 
-/*
- * Small tasks take each part of a runner as soon as it is free, so that a wide gang would never
- * find room for all members at the same moment.
- */
-static void accumulate_on_approved(const struct pending_step *ps, uint32_t count)
-{
-	g_autoptr(GPtrArray) candidates = approved(ps);
-
-	if (!candidates->len || resources_exceed_share(&ps->pool->accumulating, &ps->pool->capacity,
-						       ACCUMULATING_MILLI))
-		return;
-	g_ptr_array_sort(candidates, pending_step_by_free);
-	for (uint32_t i = 0; i < count; i++) {
-		struct cell_runner *rn = candidates->pdata[i % candidates->len];
-
-		resources_add(&rn->reserved, &ps->need);
-		resources_add(&ps->pool->accumulating, &ps->need);
-	}
-}
-
 bool reserve_on_approved(const struct pending_step *ps, uint32_t count)
 {
 	uint32_t n = 0;
@@ -103,8 +81,6 @@
 		if (advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
 			n += pending_step_reserve(ps, rn, count - n);
 	}
-	if (n < count)
-		accumulate_on_approved(ps, count - n);
 	return n > 0;
 }
 
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -17,9 +17,7 @@
 /*
  * reserve_on_approved - reserves the room that there is for tasks of an advised step, on approved
  * runners. A gang keeps it until it has enough: while it waits for further advice or for a task to
- * end, less urgent tasks would take each free part. For its other members runners that are too full
- * yet are kept as well, until gangs hold a quarter of the pool in this way. Returns false if there
- * was no room for any.
+ * end, less urgent tasks would take each free part. Returns false if there is none.
  */
 bool reserve_on_approved(const struct pending_step *ps, uint32_t count);
 /*
