json_text: bound the nesting of JSON that others wrote

What callers saw: after one entry of 200,000 opening brackets among those of the runners, each process that schedules ended with SIGSEGV as soon as it read the list, and the next one too. Jobs were accepted and never began.

Cause: JSON-GLib's parser recurses once for each level of nesting, without a bound, and every text of others went to it as it came.

Change: json_text_load() refuses a text nested deeper than 64 levels before it is parsed, and comments and single-quoted strings, which would hide brackets from that check.

--- /dev/null
+++ b/packages/core/request/json_text.h
@@ -0,0 +1,25 @@
+#ifndef CORE_JSON_TEXT_H
+#define CORE_JSON_TEXT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <json-glib/json-glib.h>
+
+/*
+ * json_text - parses JSON that others wrote: callers, runners, the platform, files.
+ *
+ * JSON-GLib recurses once for each level of nesting, so the nesting is bounded before it sees the
+ * text. No document of our interfaces comes near to the bound.
+ */
+#define JSON_TEXT_DEPTH_MAX 64
+
+/*
+ * json_text_load - like json_parser_load_from_data() with a size, but fails with
+ * JSON_PARSER_ERROR_PARSE if the text is empty, nested deeper than JSON_TEXT_DEPTH_MAX, or holds a
+ * comment or a single-quoted string, which JSON doesn't have.
+ */
+bool json_text_load(JsonParser *parser, const void *data, size_t size, GError **err);
+
+#endif
--- a/packages/ctl/client.c
+++ b/packages/ctl/client.c
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 
 #include "client.h"
+#include "request/json_text.h"
 
 #define STEP "call"
 
@@ -148,7 +149,7 @@
 		.retry_after_ms =
 			retry ? (uint32_t)MIN(g_ascii_strtoull(retry, NULL, 10), 86400) * 1000 : 0,
 	};
-	if (size > 0 && json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_text_load(parser, text, size, NULL))
 		reply->json = json_parser_steal_root(parser);
 	reply->detail = read_detail(reply, soup_message_get_reason_phrase(x->message));
 }
--- a/packages/ctl/trace.c
+++ b/packages/ctl/trace.c
@@ -2,6 +2,7 @@
 
 #include <json-glib/json-glib.h>
 
+#include "request/json_text.h"
 #include "trace.h"
 
 #define LINE_MAX_BYTES 65536
@@ -70,7 +71,7 @@
 	struct trace_line *l;
 	JsonObject *o;
 
-	if (!brace || !json_parser_load_from_data(parser, brace, -1, NULL) ||
+	if (!brace || !json_text_load(parser, brace, strlen(brace), NULL) ||
 	    !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		return false;
 	o = json_node_get_object(json_parser_get_root(parser));
--- a/packages/ctl/vm_list.c
+++ b/packages/ctl/vm_list.c
@@ -2,6 +2,7 @@
 
 #include <json-glib/json-glib.h>
 
+#include "request/json_text.h"
 #include "vm_list.h"
 
 #define STEP "vms"
@@ -42,10 +43,13 @@
 {
 	g_autoptr(JsonParser) parser = json_parser_new();
 	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
 	JsonNode *root, *vms = NULL;
 	struct vm_list *list;
+	gsize size;
 
-	if (!json_parser_load_from_file(parser, path, &error)) {
+	if (!g_file_get_contents(path, &text, &size, &error) ||
+	    !json_text_load(parser, text, size, &error)) {
 		status_set(st, STATUS_INVALID, STEP, path, "%s", error->message);
 		return NULL;
 	}
--- a/packages/daemon/connection/worker.c
+++ b/packages/daemon/connection/worker.c
@@ -4,6 +4,7 @@
 #include <libsoup/soup.h>
 
 #include "fields.h"
+#include "request/json_text.h"
 #include "worker.h"
 
 #define TIMEOUT_S		 10
@@ -88,7 +89,7 @@
 	gsize size = 0;
 	const char *data = body ? g_bytes_get_data(body, &size) : NULL;
 
-	if (data && json_parser_load_from_data(parser, data, (gssize)size, NULL) &&
+	if (data && json_text_load(parser, data, size, NULL) &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		o = json_node_get_object(json_parser_get_root(parser));
 	r.result = reply_result(x, err, o != NULL);
--- a/packages/daemon/process/jobsapi.c
+++ b/packages/daemon/process/jobsapi.c
@@ -7,6 +7,7 @@
 #include "id.h"
 #include "log.h"
 #include "process/voter.h"
+#include "request/json_text.h"
 
 #define PREFIX		    "/v1/jobs"
 #define TASKS_MAX	    100000
@@ -301,7 +302,7 @@
 	const char *key = soup_message_headers_get_one(soup_server_message_get_request_headers(msg),
 						       "Idempotency-Key");
 
-	if (!text || !json_parser_load_from_data(parser, text, (gssize)size, &err) ||
+	if (!json_text_load(parser, text, size, &err) ||
 	    !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
 		reject(&e, 400, "the body is not a JSON object%s%s", err ? ": " : "",
 		       err ? err->message : "");
--- a/packages/daemon/process/platform.c
+++ b/packages/daemon/process/platform.c
@@ -8,6 +8,7 @@
 #include "fields.h"
 #include "log.h"
 #include "platform.h"
+#include "request/json_text.h"
 
 #define APPEND_TIMEOUT_S 5
 #define TAIL_BATCH	 256
@@ -73,7 +74,7 @@
 	const char *data = body ? g_bytes_get_data(body, &size) : NULL;
 	JsonNode *root;
 
-	if (!data || !json_parser_load_from_data(parser, data, (gssize)size, NULL))
+	if (!data || !json_text_load(parser, data, size, NULL))
 		return NULL;
 	root = json_parser_get_root(parser);
 	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root) : NULL;
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -6,6 +6,52 @@
 
 #define ID "00000000000000a1"
 
+/* More levels than the stack of a recursive parser holds. */
+#define NESTED_LEVELS 200000
+
+/* Returns before, then an opening text per level. */
+static char *nested_text(const char *before, const char *opening)
+{
+	GString *text = g_string_new(before);
+
+	for (uint32_t i = 0; i < NESTED_LEVELS; i++)
+		g_string_append(text, opening);
+	return g_string_free(text, FALSE);
+}
+
+/* One deeply nested text ended each process that read it: the JSON library recurses. */
+Test(decode, deep_nesting_is_rejected)
+{
+	static const struct {
+		const char *name;
+		const char *before;
+		const char *opening;
+	} cases[] = {
+		{ "arrays", "", "[" },
+		{ "objects", "", "{\"a\":" },
+		{ "a member of an entry", "{\"service\":\"s\",\"labels\":", "[" },
+		{ "a member of a job", "{\"spec\":\"s\",\"steps\":[{\"after\":", "[" },
+		{ "a member of the configuration", "{\"version\":1,\"routes\":", "[{\"a\":" },
+		{ "behind a quote in a comment", "{\"a\":/*\"*/", "[" },
+		{ "behind a quote in single quotes", "{\"a\":'\"',\"b\":", "[" },
+	};
+	const struct queue queue = { .name = "q", .service = "s" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = nested_text(cases[i].before, cases[i].opening);
+		size_t size = strlen(text);
+		struct runner_info info;
+		JsonNode *root = NULL;
+		const char *error;
+
+		cr_expect_not(decode_runner("r", text, size, &info, &root), "%s", cases[i].name);
+		cr_expect_null(root, "%s", cases[i].name);
+		cr_expect_null(decode_queues(text, size, &error), "%s", cases[i].name);
+		cr_expect_null(decode_job(ID, &queue, NULL, text, size, 0, &error), "%s",
+			       cases[i].name);
+	}
+}
+
 struct runner_case {
 	const char *name;
 	const char *text;
--- /dev/null
+++ b/tests/test_json_text.c
@@ -0,0 +1,81 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "request/json_text.h"
+
+/* Builds {"a":[[...0...]]} with the given number of levels in all. */
+static char *nested(uint32_t levels)
+{
+	GString *text = g_string_new("{\"a\":");
+
+	for (uint32_t i = 1; i < levels; i++)
+		g_string_append_c(text, '[');
+	g_string_append_c(text, '0');
+	for (uint32_t i = 1; i < levels; i++)
+		g_string_append_c(text, ']');
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+static bool loads(const char *text, size_t size)
+{
+	g_autoptr(JsonParser) parser = json_parser_new_immutable();
+	g_autoptr(GError) err = NULL;
+	bool ok = json_text_load(parser, text, size, &err);
+
+	cr_expect_eq(ok, err == NULL, "%s", text ? text : "none");
+	return ok;
+}
+
+/* A text with more levels than the stack holds ended the process that read it. */
+Test(json_text, nesting_is_bounded)
+{
+	static const struct {
+		uint32_t levels;
+		bool loads;
+	} cases[] = {
+		{ 1, true },
+		{ JSON_TEXT_DEPTH_MAX, true },
+		{ JSON_TEXT_DEPTH_MAX + 1, false },
+		{ 100000, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = nested(cases[i].levels);
+
+		cr_expect_eq(loads(text, strlen(text)), cases[i].loads, "%u levels",
+			     cases[i].levels);
+	}
+}
+
+/* Brackets in strings are no levels, and nothing that hides brackets from the check is read. */
+Test(json_text, only_brackets_outside_strings_count)
+{
+	g_autofree char *brackets = g_strnfill(2 * JSON_TEXT_DEPTH_MAX, '[');
+	g_autofree char *in_string = g_strdup_printf("{\"a\":\"%s\"}", brackets);
+	g_autofree char *after_quote = g_strdup_printf("{\"a\":\"\\\"%s\"}", brackets);
+	g_autofree char *after_backslash = g_strdup_printf("{\"a\":\"\\\\\",\"b\":%s", brackets);
+	const struct {
+		const char *text;
+		bool loads;
+	} cases[] = {
+		{ in_string, true },
+		{ after_quote, true },
+		{ after_backslash, false },
+		{ "{\"a\":[1,2],\"b\":[3]}", true },
+		{ "{\"a\":\"x/y'z\"}", true },
+		{ "{\"a\":1}/*\"*/", false },
+		{ "//\"\n{\"a\":1}", false },
+		{ "{'a':1}", false },
+		{ "{\"a\":\"x", false },
+		{ "{\"a\":\"x\\", false },
+		{ "]]]]", false },
+		{ "", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		cr_expect_eq(loads(cases[i].text, strlen(cases[i].text)), cases[i].loads, "%s",
+			     cases[i].text);
+	cr_expect_not(loads(NULL, 0));
+}
