platform: check the range of what runners and the store write

But odd values were taken for sound ones: integers beyond 64 bits wrapped, floating-point numbers were cast, memory in bytes overflowed, a version beyond 64 bits was above all later ones, a key with a NUL stood for the runner whose id it begins with, and a page of the list without a usable record ended its load, so that all later runners counted as gone.

Cause: types were checked, ranges were not.

The newest entry counts: if it is invalid, the runner gets no new work until it reports again. A page tells the last key that it holds.

--- a/packages/core/request/json_text.h
+++ b/packages/core/request/json_text.h
@@ -11,7 +11,8 @@
  * json_text - parses JSON that others wrote: callers, runners, the platform, files.
  *
  * JSON-GLib recurses once for each level of nesting, so the nesting is bounded before it sees the
- * text. No document of our interfaces comes near to the bound.
+ * text. No document of our interfaces comes near to the bound. It also wraps integers beyond 64
+ * bits, so these are read as floating-point numbers, as JSON gives numbers no range.
  */
 #define JSON_TEXT_DEPTH_MAX 64
 
--- a/packages/node/ports.h
+++ b/packages/node/ports.h
@@ -39,7 +39,10 @@
 	size_t n;
 	uint64_t oldest_offset; /* of the oldest record that is kept */
 	uint64_t next_offset;	/* end of the log; a long page ends before it */
-	bool more;		/* store_ops.newest only: more keys follow the last one */
+	/* store_ops.newest only; NULL or the last key that was read, also if its record is left
+	 * out. */
+	const char *last_key;
+	bool more; /* more keys follow the last one, which isn't NULL then */
 };
 
 /* offset: of the first appended record; on STORE_END_MISMATCH the end of the log. */
--- a/packages/node/process/joblog_read.c
+++ b/packages/node/process/joblog_read.c
@@ -48,8 +48,8 @@
 		r->resume_offset = page->next_offset;
 	g_free(r->after_key);
 	r->after_key = NULL;
-	if (page->more && page->n) {
-		r->after_key = g_strdup(page->record[page->n - 1].key);
+	if (page->more) {
+		r->after_key = g_strdup(page->last_key);
 		return;
 	}
 	r->next_offset = r->resume_offset;
--- a/tests/node/fakestore.c
+++ b/tests/node/fakestore.c
@@ -354,6 +354,7 @@
 			.offset = i, .key = r->key, .value = r->value, .size = r->size
 		};
 	}
+	page.last_key = page.n ? rec[page.n - 1].key : NULL;
 	if (c->carried_bytes && bytes > c->carried_bytes)
 		call->page(call->ctx, STORE_UNKNOWN, NULL);
 	else
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -44,7 +44,8 @@
 		JsonNode *root = NULL;
 		const char *error;
 
-		cr_expect_not(decode_runner("r", text, size, &info, &root), "%s", cases[i].name);
+		cr_expect_not(decode_runner("r", text, size, &info, &root, &error), "%s",
+			      cases[i].name);
 		cr_expect_null(root, "%s", cases[i].name);
 		cr_expect_null(decode_queues(text, size, &error), "%s", cases[i].name);
 		cr_expect_null(decode_job(ID, &queue, NULL, text, size, 0, &error), "%s",
@@ -59,6 +60,14 @@
 	bool draining;
 };
 
+/* A valid entry with other values for its address, capacity and further members. */
+#define ENTRY_OF(address, capacity, more)                                                          \
+	"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"address\":\"" address "\","       \
+	"\"capacity\":{" capacity "}" more "}"
+#define ADDRESS(address)   ENTRY_OF(address, "\"cpu\":1,\"mem-mb\":1", "")
+#define CAPACITY(capacity) ENTRY_OF("10.0.0.1:80", capacity, "")
+#define MORE(more)	   ENTRY_OF("10.0.0.1:80", "\"cpu\":1,\"mem-mb\":1", "," more)
+
 /* Entries may come from other writers, so invalid ones must be rejected. */
 Test(decode, runner_validity)
 {
@@ -95,6 +104,40 @@
 		  "{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
 		  "\"capacity\":{\"cpu\":1,\"mem-mb\":1}}",
 		  false },
+		{ "address of version 6", ADDRESS("[::1]:80"), true },
+		{ "address of version 6 without brackets", ADDRESS("::1:80"), false },
+		{ "address of version 4 in brackets", ADDRESS("[10.0.0.1]:80"), false },
+		{ "port 65535", ADDRESS("10.0.0.1:65535"), true },
+		{ "port 65536", ADDRESS("10.0.0.1:65536"), false },
+		{ "port 80 beyond 64 bits", ADDRESS("10.0.0.1:18446744073709551696"), false },
+		{ "port 0", ADDRESS("10.0.0.1:0"), false },
+		{ "port below 0", ADDRESS("10.0.0.1:-1"), false },
+		{ "empty port", ADDRESS("10.0.0.1:"), false },
+		{ "port with a path", ADDRESS("10.0.0.1:80/x"), false },
+		{ "a name", ADDRESS("host:80"), false },
+		{ "a user", ADDRESS("a@10.0.0.1:80"), false },
+		{ "no IP address", ADDRESS(":80"), false },
+		{ "cpu beyond 64 bits", CAPACITY("\"cpu\":99999999999999999999,\"mem-mb\":1"),
+		  false },
+		{ "cpu that wraps to 1", CAPACITY("\"cpu\":18446744073709551617,\"mem-mb\":1"),
+		  false },
+		{ "cpu with an exponent", CAPACITY("\"cpu\":1e300,\"mem-mb\":1"), false },
+		{ "cpu without end", CAPACITY("\"cpu\":1e999,\"mem-mb\":1"), false },
+		{ "cpu below 0", CAPACITY("\"cpu\":-1,\"mem-mb\":1"), false },
+		{ "largest cpu", CAPACITY("\"cpu\":1000000000,\"mem-mb\":1"), true },
+		{ "more than the largest cpu", CAPACITY("\"cpu\":1000000001,\"mem-mb\":1"), false },
+		{ "memory whose bytes wrap to 0", CAPACITY("\"cpu\":1,\"mem-mb\":17592186044416"),
+		  false },
+		{ "gpu too large", CAPACITY("\"cpu\":1,\"mem-mb\":1,\"gpu\":4294967296"), false },
+		{ "gpu is a string", CAPACITY("\"cpu\":1,\"mem-mb\":1,\"gpu\":\"2\""), false },
+		{ "born beyond 64 bits", MORE("\"born\":99999999999999999999"), false },
+		{ "born beyond each clock", MORE("\"born\":9223372036854775807"), false },
+		{ "born below 0", MORE("\"born\":-1"), false },
+		{ "born is a string", MORE("\"born\":\"1\""), false },
+		{ "time too large", MORE("\"time-ms\":1e30"), false },
+		{ "labels are a number", MORE("\"labels\":5"), false },
+		{ "a label is a number", MORE("\"labels\":[\"a\",7]"), false },
+		{ "another member beyond 64 bits", MORE("\"seq\":99999999999999999999"), true },
 		{ "an array", "[]", false },
 		{ "truncated", "{\"service\":\"s\"", false },
 		{ "not UTF-8", "\xff\xfe\x00", false },
@@ -104,7 +147,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct runner_info info;
 		JsonNode *root = NULL;
-		bool ok = decode_runner("r", cases[i].text, strlen(cases[i].text), &info, &root);
+		const char *error;
+		bool ok = decode_runner("r", cases[i].text, strlen(cases[i].text), &info, &root,
+					&error);
 
 		cr_expect_eq(ok, cases[i].usable, "%s", cases[i].name);
 		if (ok)
@@ -114,6 +159,69 @@
 	}
 }
 
+/* An id is sent as a header: a line break in it would begin another one. */
+Test(decode, runner_ids)
+{
+	static const struct {
+		const char *id;
+		bool valid;
+	} cases[] = {
+		{ "i-7f3a91c2", true },	    { "i-\u00e9", true }, { "", false },
+		{ "i-1\r\nX-A: b", false }, { "i 1", false },	  { "i-\x7f", false },
+		{ "i-\xff", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *text = ADDRESS("10.0.0.1:80");
+		struct runner_info info;
+		JsonNode *root = NULL;
+		const char *error;
+
+		cr_expect_eq(decode_runner(cases[i].id, text, strlen(text), &info, &root, &error),
+			     cases[i].valid, "%s", cases[i].id);
+		json_node_unref(root);
+	}
+}
+
+/* A long entry costs each process that reads it as much time as hundreds of others. */
+Test(decode, runner_entry_is_bounded)
+{
+	g_autofree char *filler = g_strnfill(ENTRY_MAX_BYTES, 'x');
+	g_autofree char *text = g_strdup_printf(MORE("\"more\":\"%s\""), filler);
+	struct runner_info info;
+	JsonNode *root;
+	const char *error;
+
+	cr_expect_not(decode_runner("r", text, strlen(text), &info, &root, &error));
+	cr_expect_null(root);
+}
+
+/* A version that wraps is above all later ones, which would never be applied. */
+Test(decode, versions_of_a_configuration)
+{
+	static const struct {
+		const char *version;
+		bool valid;
+	} cases[] = {
+		{ "0", true },
+		{ "9223372036854775807", true },
+		{ "9223372036854775808", false },
+		{ "18446744073709551615", false },
+		{ "-1", false },
+		{ "1e300", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+			g_strdup_printf("{\"version\":%s,\"routes\":[]}", cases[i].version);
+		const char *error;
+		struct queues *q = decode_queues(text, strlen(text), &error);
+
+		cr_expect_eq(q != NULL, cases[i].valid, "%s", cases[i].version);
+		queues_destroy(q);
+	}
+}
+
 Test(decode, runner_fields)
 {
 	const char *text =
@@ -121,9 +229,10 @@
 		"\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem-mb\":2,\"gpu\":3},"
 		"\"labels\":[\"kind\",\"rack\"],\"born\":1765000000123,\"time-ms\":55}";
 	struct runner_info info;
+	const char *error;
 	JsonNode *root;
 
-	cr_assert(decode_runner("r", text, strlen(text), &info, &root));
+	cr_assert(decode_runner("r", text, strlen(text), &info, &root, &error));
 	cr_assert_eq(info.capacity.cpu_milli, 16000);
 	cr_assert_eq(info.capacity.mem_bytes, 2097152);
 	cr_assert_eq(info.capacity.accel, 3);
--- a/tests/platform/test_discovery.c
+++ b/tests/platform/test_discovery.c
@@ -61,7 +61,8 @@
 	size_t n;
 	uint64_t end; /* of the log */
 	bool more;
-	uint32_t takes_ms; /* until the answer */
+	const char *last_key; /* of the page, if it isn't that of the last record */
+	uint32_t takes_ms;    /* until the answer */
 };
 
 struct fake {
@@ -75,10 +76,14 @@
 static void reply(struct fake *f, page_fn fn, void *ctx)
 {
 	const struct answer *a = &f->answer[f->next++];
-	struct store_page page = {
-		.record = a->rec, .n = a->n, .next_offset = a->end, .more = a->more
-	};
-
+	struct store_page page = { .record = a->rec,
+				   .n = a->n,
+				   .next_offset = a->end,
+				   .last_key = a->last_key,
+				   .more = a->more };
+
+	if (!page.last_key && a->n)
+		page.last_key = a->rec[a->n - 1].key;
 	g_usleep((gulong)a->takes_ms * 1000);
 	fn(ctx, a->result, a->result == STORE_OK ? &page : NULL);
 }
@@ -230,6 +235,57 @@
 	cr_expect_eq(state_of(known, "i-3"), 2);
 }
 
+#define ODD_PORT "{\"service\":\"s\",\"address\":\"1.2.3.4:99999\",\"zone\":\"z\",\"born\":1,"
+#define INVALID(at, id)                                                                            \
+	{                                                                                          \
+		.offset = (at), .key = (id), .value = (const uint8_t *)ODD_PORT,                   \
+		.size = sizeof(ODD_PORT) - 1                                                       \
+	}
+
+/* The newest entry counts: one that is invalid names no runner, until the runner writes again. */
+Test(discovery, invalid_entry_names_no_runner)
+{
+	static const struct answer answers[] = {
+		{ .newest = true,
+		  .after = "",
+		  .rec = { RECORD(1, "i-1", "ready"), RECORD(2, "i-2", "ready"),
+			   INVALID(3, "other") },
+		  .n = 3,
+		  .end = 4 },
+		{ .from = 4, .rec = { INVALID(4, "i-1"), INVALID(5, "i-2") }, .n = 2, .end = 6 },
+		{ .from = 6, .rec = { RECORD(6, "i-2", "ready") }, .n = 1, .end = 7 },
+	};
+	g_autoptr(GHashTable) known = run_runners(answers, G_N_ELEMENTS(answers));
+
+	cr_expect_eq(state_of(known, "i-1"), 0);
+	cr_expect_eq(state_of(known, "i-2"), 1);
+	cr_expect_eq(state_of(known, "other"), 0);
+}
+
+/* A page of the list without a usable record ended the load, and all later runners were removed. */
+Test(discovery, load_goes_on_after_a_page_without_records)
+{
+	static const struct answer answers[] = {
+		{ .newest = true,
+		  .after = "",
+		  .rec = { RECORD(1, "i-1", "ready") },
+		  .n = 1,
+		  .last_key = "i-2",
+		  .end = 4,
+		  .more = true },
+		{ .newest = true, .after = "i-2", .last_key = "i-3", .end = 4, .more = true },
+		{ .newest = true,
+		  .after = "i-3",
+		  .rec = { RECORD(3, "i-4", "ready") },
+		  .n = 1,
+		  .end = 4 },
+	};
+	g_autoptr(GHashTable) known = run_runners(answers, G_N_ELEMENTS(answers));
+
+	cr_expect_eq(state_of(known, "i-1"), 1);
+	cr_expect_eq(state_of(known, "i-4"), 1);
+}
+
 #define CONFIG(at, version)                                                                        \
 	{                                                                                          \
 		.offset = (at), .key = "config",                                                   \
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -159,6 +159,10 @@
 #define RECORD_AB                                                                                  \
 	"\0\0\0\x03\x01"                                                                           \
 	"ab" /* key a, value b */
+#define NUL_KEY                                                                                    \
+	"\0\0\0\x05\x03"                                                                           \
+	"a\0c"                                                                                     \
+	"d" /* its key is no string, and begins with another one */
 #define NO_KEY                                                                                     \
 	"\0\0\0\x02\x05"                                                                           \
 	"a" /* its key is cut off */
@@ -178,6 +182,8 @@
 		{ "no record", END_9, sizeof(END_9) - 1, STORE_OK, 0, 0, "" },
 		{ "one", END_9 RECORD_AB, sizeof(END_9 RECORD_AB) - 1, STORE_OK, 1, 5, "a" },
 		{ "one without a key", END_9 NO_KEY, sizeof(END_9 NO_KEY) - 1, STORE_OK, 1, 5, "" },
+		{ "a key with a NUL", END_9 NUL_KEY, sizeof(END_9 NUL_KEY) - 1, STORE_OK, 1, 5,
+		  "" },
 		{ "empty record", END_9 "\0\0\0\0", sizeof(END_9) - 1 + 4, STORE_OK, 1, 5, "" },
 		{ "one after it", END_9 NO_KEY RECORD_AB, sizeof(END_9 NO_KEY RECORD_AB) - 1,
 		  STORE_OK, 2, 6, "a" },
@@ -209,3 +215,78 @@
 		raw_server_destroy(s);
 	}
 }
+
+#define ITEM(key)  "{\"key\":\"" key "\",\"value\":\"YQ==\",\"offset\":3}"
+#define ODD_ITEMS  "{\"key\":\"x\",\"value\":5},{\"key\":7},[],null"
+#define PAGE(text) "{\"items\":[" text "],\"has-more\":true,\"end-offset\":9}"
+
+struct newest_outcome {
+	struct raw_server *server;
+	enum store_result result;
+	size_t n;
+	char *last_key;
+	guint replies;
+};
+
+static void on_newest(void *ctx, enum store_result result, const struct store_page *page)
+{
+	struct newest_outcome *o = ctx;
+
+	o->result = result;
+	o->n = page ? page->n : 0;
+	o->last_key = g_strdup(page && page->last_key ? page->last_key : "");
+	o->replies++;
+}
+
+static bool is_newest_read(void *ctx)
+{
+	struct newest_outcome *o = ctx;
+
+	raw_server_serve(o->server);
+	return o->replies > 0;
+}
+
+/* A load goes on after the last key of a page, whatever its items hold, and doesn't end early. */
+Test(store, page_of_newest_records_tells_where_to_go_on)
+{
+	static const struct {
+		const char *name;
+		const char *body;
+		enum store_result result;
+		size_t n;
+		const char *last_key;
+	} cases[] = {
+		{ "all items", PAGE(ITEM("a") "," ITEM("b")), STORE_OK, 2, "b" },
+		{ "odd items at the end", PAGE(ITEM("a") "," ODD_ITEMS), STORE_OK, 1, "x" },
+		{ "odd items at the beginning", PAGE(ODD_ITEMS "," ITEM("b")), STORE_OK, 1, "b" },
+		{ "odd items only", PAGE(ODD_ITEMS), STORE_OK, 0, "x" },
+		{ "no key", PAGE("{\"value\":\"YQ==\"}"), STORE_UNKNOWN, 0, "" },
+		{ "no item", PAGE(""), STORE_UNKNOWN, 0, "" },
+		{ "no end", "{\"items\":[" ITEM("a") "]}", STORE_UNKNOWN, 0, "" },
+		{ "end below 0", "{\"items\":[],\"end-offset\":-1}", STORE_UNKNOWN, 0, "" },
+		{ "end beyond 64 bits", "{\"items\":[],\"end-offset\":18446744073709551615}",
+		  STORE_UNKNOWN, 0, "" },
+		{ "last page", "{\"items\":[],\"end-offset\":0}", STORE_OK, 0, "" },
+		{ "no object", "[]", STORE_UNKNOWN, 0, "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat("HTTP/1.1 200 OK\r\n\r\n", cases[i].body, NULL);
+		const struct raw_step step = { RAW_ANSWER_CLOSE, text };
+		struct raw_server *s = raw_server_create(&step, 1);
+		g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+		struct client *c = client_create();
+		struct log_store *store = log_store_create(c, address);
+		struct newest_outcome o = { .server = s };
+
+		log_store_ops.newest(store, "keyed.topic", 0, "", on_newest, &o);
+		cr_assert(raw_wait_until(is_newest_read, &o));
+		cr_expect_eq(o.result, cases[i].result, "%s: result %d", cases[i].name, o.result);
+		cr_expect_eq(o.n, cases[i].n, "%s: %zu records", cases[i].name, o.n);
+		cr_expect_str_eq(o.last_key, cases[i].last_key, "%s", cases[i].name);
+		g_free(o.last_key);
+		client_destroy(c);
+		log_store_destroy(store);
+		raw_server_destroy(s);
+	}
+}
--- a/tests/test_json_text.c
+++ b/tests/test_json_text.c
@@ -79,3 +79,39 @@
 			     cases[i].text);
 	cr_expect_not(loads(NULL, 0));
 }
+
+/* JSON-GLib wraps integers beyond 64 bits: 2^64 + 1 was read as 1. */
+Test(json_text, oversized_integers_are_floating_point)
+{
+	static const struct {
+		const char *number;
+		GType type;
+	} cases[] = {
+		{ "0", G_TYPE_INT64 },
+		{ "1.5", G_TYPE_DOUBLE },
+		{ "1e3", G_TYPE_DOUBLE },
+		{ "9223372036854775807", G_TYPE_INT64 },
+		{ "9223372036854775808", G_TYPE_DOUBLE },
+		{ "-9223372036854775808", G_TYPE_INT64 },
+		{ "-9223372036854775809", G_TYPE_DOUBLE },
+		{ "18446744073709551617", G_TYPE_DOUBLE },
+		{ "99999999999999999999999999999999999999", G_TYPE_DOUBLE },
+		{ "99999999999999999999.5", G_TYPE_DOUBLE },
+		{ "99999999999999999999e5", G_TYPE_DOUBLE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+			g_strdup_printf("{\"s\":\"%s\",\"b\":[%s,%s],\"a\":%s}", cases[i].number,
+					cases[i].number, cases[i].number, cases[i].number);
+		g_autoptr(JsonParser) parser = json_parser_new();
+		JsonObject *o;
+
+		cr_assert(json_text_load(parser, text, strlen(text), NULL), "%s", text);
+		o = json_node_get_object(json_parser_get_root(parser));
+		cr_expect_eq(json_node_get_value_type(json_object_get_member(o, "a")),
+			     cases[i].type, "%s", cases[i].number);
+		cr_expect_str_eq(json_object_get_string_member(o, "s"), cases[i].number);
+		cr_expect_eq(json_array_get_length(json_object_get_array_member(o, "b")), 2);
+	}
+}
