lapse: keep the end of a silent runner's lease in the job log

What callers saw: the tasks of a lost runner had nothing running as long as schedulers were replaced every 9 s, with room for them on other runners.

Cause: how long a silent runner may still run its tasks was known to one process. Its successor knew only that its predecessor may have granted leases until 3 s after the claim, so it waited for 9.2 s from its own start, and so did the next one.

Change: a scheduler that misses two polls of a runner writes what is left of its lease into one record of the job log, again each 0.5 s. The record binds all schedulers: a runner that it names gets no lease until a record without it is stored. A predecessor's grants count from its last renewal that was read, and end when a new process of its node links. Records of runs have a hash of the runner's address, by which a new scheduler finds out that another runner answers there. The end of a lease is noticed when it is due instead of with the next tick.

Why this works: only a scheduler that has stored a record without the runner can renew its lease, and the store refuses records of schedulers that were replaced. Earlier releases don't know the record, so the store refuses their schedulers from now on.

With the writing switched off, a_lost_runner_is_waited_for_once fails in 7 of 7 cases and a_lease_whose_end_is_written_is_not_renewed in both. The check of holder_whose_claim_was_trimmed_keeps_the_lease counted the grants of the lost holder from the claim; it now counts them from its last renewal, which is when they end, and has an upper bound too.

--- a/packages/cell/process/cell_runner.c
+++ b/packages/cell/process/cell_runner.c
@@ -1,3 +1,7 @@
+#include <string.h>
+
+#include <xxhash.h>
+
 #include "cell_runner.h"
 
 static void run_free(gpointer data)
@@ -8,6 +12,14 @@
 	g_free(r);
 }
 
+static void set_text(char **to, const char *value)
+{
+	if (!g_strcmp0(*to, value))
+		return;
+	g_free(*to);
+	*to = g_strdup(value);
+}
+
 struct cell_runner *cell_runner_create(const struct runner_info *info, uint32_t handle)
 {
 	struct cell_runner *rn = g_new0(struct cell_runner, 1);
@@ -35,20 +47,18 @@
 	g_free(rn);
 }
 
-static void set_text(char **to, const char *value)
+void cell_runner_set_address(struct cell_runner *rn, const char *address, const char *dc)
 {
-	if (!g_strcmp0(*to, value))
-		return;
-	g_free(*to);
-	*to = g_strdup(value);
+	set_text(&rn->address, address);
+	if (rn->address)
+		rn->host = MAX(XXH3_64bits(rn->address, strlen(rn->address)), 1);
+	set_text(&rn->dc, dc);
 }
 
 void cell_runner_update(struct cell_runner *rn, const struct runner_info *info)
 {
-	set_text(&rn->address, info->address);
-	rn->host = rn->address ? MAX(g_str_hash(rn->address), 1) : 0;
+	cell_runner_set_address(rn, info->address, info->dc);
 	set_text(&rn->service, info->service);
-	set_text(&rn->dc, info->dc);
 	set_text(&rn->rack, info->rack);
 	for (int i = 0; i < RUNNER_LABELS_MAX; i++)
 		set_text(&rn->label[i], info->label[i]);
--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -70,7 +70,7 @@
 struct cell_runner {
 	char *id;
 	char *address;
-	uint32_t host; /* hash of the address, which a restart keeps; 0 if unknown */
+	uint64_t host; /* hash of the address, which a restart keeps; 0 if unknown */
 	char *service;
 	char *dc;
 	char *rack;
@@ -86,6 +86,7 @@
 	bool gone;		  /* no longer listed by the platform */
 	bool replaced;		  /* another runner answers at its address */
 	bool restarted;		  /* this scheduler knew an earlier incarnation */
+	bool lapsing;		  /* gets no lease; see lapse.h */
 	bool contacted;		  /* has answered this scheduler */
 	int64_t first_contact_ms; /* its first answer to this scheduler */
 	bool polling;		  /* a poll is in flight */
@@ -113,6 +114,8 @@
 void cell_runner_destroy(struct cell_runner *rn);
 /* cell_runner_update - updates what may change within one incarnation. */
 void cell_runner_update(struct cell_runner *rn, const struct runner_info *info);
+/* cell_runner_set_address - address and data centre may be NULL. */
+void cell_runner_set_address(struct cell_runner *rn, const char *address, const char *dc);
 /* cell_runner_answered - notes the reply to a poll, sent at clock_ms by the runner's clock. */
 void cell_runner_answered(struct cell_runner *rn, int64_t clock_ms, int64_t now_ms);
 /*
--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -1,4 +1,4 @@
-#include "scheduler_priv.h"
+#include "lapse.h"
 
 /* A slow store takes 180 ms for each append, and a partition takes them one after the other. */
 #define BATCHES_MAX	 2   /* in flight; more would only queue in the store */
@@ -69,13 +69,14 @@
 			WRITE_WEIGHT;
 	s->batches_in_flight -= (uint32_t)(batch - s->batch_acked);
 	s->batch_acked = batch;
+	lapse_written(s);
 }
 
 int64_t progress_write(struct scheduler *s, int64_t next_ms)
 {
 	GPtrArray *records;
 
-	if (s->dirty_jobs->len == 0 && begun_due_ms(s) > s->now_ms)
+	if (s->dirty_jobs->len == 0 && !s->lapse_due && begun_due_ms(s) > s->now_ms)
 		return MIN(next_ms, begun_due_ms(s));
 	if (write_due_ms(s) > s->now_ms)
 		return MIN(next_ms, write_due_ms(s));
@@ -95,6 +96,11 @@
 		j->written_batch = s->batch_next;
 	}
 	g_ptr_array_set_size(s->dirty_jobs, 0);
+	lapse_write(s, records);
+	if (!records->len) {
+		g_ptr_array_unref(records);
+		return next_ms;
+	}
 	stamp_intents(s);
 	s->batches_in_flight++;
 	s->batch_sent_ms = s->now_ms;
--- a/packages/cell/process/progress_record.c
+++ b/packages/cell/process/progress_record.c
@@ -50,6 +50,7 @@
 	*ref = (Cell__RunnerRef)CELL__RUNNER_REF__INIT;
 	ref->id = rn->id;
 	ref->born_ms = rn->incarnation_ms;
+	ref->host = rn->host;
 	r->runners[r->m.n_runner++] = ref;
 	return (uint32_t)r->m.n_runner;
 }
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -1,12 +1,15 @@
 #define G_LOG_DOMAIN "runners"
 
 #include "crash.h"
+#include "lapse.h"
 #include "scheduler_priv.h"
 
 #define POLL_WAIT_MS	  1500 /* a poll waits this long for an end; the platform's limit is 2 s */
 #define POLL_WAIT_MIN_MS  300  /* near an expected end, so that a lost reply is noticed soon */
 #define POLL_ANSWER_MS	  400  /* on top of the wait: 24 ms round trip, and slow VMs */
 #define POLL_IDLE_MS	  4000 /* between polls of an idle runner */
+#define FIND_ADDRESS_MS	  200  /* between searches for a runner at the address of another */
+#define LAPSING_POLL_MS	  200  /* between polls until the lease may be renewed again */
 #define POLL_RETRY_MS	  150  /* added with each lost reply after the first */
 #define POLL_RETRY_MAX_MS 1000
 #define STOP_RETRY_MS	  700	/* between stop orders for one run */
@@ -25,7 +28,8 @@
 	struct cell_runner *rn = cell_runner_create(info, s->next_handle++);
 
 	rn->next_poll_ms = s->now_ms;
-	rn->granted_until_ms = s->inherited_until_ms;
+	rn->granted_until_ms = lapse_inherited_end_ms(s, rn);
+	lapse_add_runner(s, rn);
 	return rn;
 }
 
@@ -252,10 +256,10 @@
 	if (!unwritten)
 		rn->acked_end = rn->unacked_end;
 	order.acked_end = rn->acked_end;
-	if (rn->contacted && rn->misses == 0 && !unwritten && !rn->has_unread_runs)
+	if (rn->contacted && rn->misses == 0 && !unwritten && !rn->has_unread_runs && !rn->lapsing)
 		order.wait_ms = is_idle(s, rn) ? 0 : poll_wait(s, rn);
 	/* A silent runner may still receive polls: don't renew its lease, so that it runs out. */
-	if ((rn->runs->len || rn->has_unread_runs) && rn->misses == 0 &&
+	if ((rn->runs->len || rn->has_unread_runs) && rn->misses == 0 && !rn->lapsing &&
 	    s->now_ms <= s->grant_until_ms)
 		order.deadline_ms = cell_runner_grant_lease(rn, s->conf.lease_ms, s->now_ms);
 	order.timeout_ms = order.wait_ms + POLL_ANSWER_MS;
@@ -273,6 +277,8 @@
 {
 	if (!rn->contacted || rn->misses)
 		return rn->next_poll_ms;
+	if (rn->lapsing)
+		return rn->next_poll_ms + LAPSING_POLL_MS;
 	if (rn->unacked_end_batch > s->batch_acked)
 		return MAX(rn->next_poll_ms, rn->granted_until_ms - s->conf.lease_ms / 2);
 	if (is_idle(s, rn) && rn->acked_end == rn->unacked_end)
@@ -306,6 +312,30 @@
 	}
 }
 
+/*
+ * The platform removes the entry of a runner that has ended, so a new scheduler may not know its
+ * address. Another runner may be listed there by now: its answer proves the end.
+ */
+static void find_address(struct scheduler *s, struct cell_runner *rn, int64_t *next)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (rn->address || !rn->host || rn->runs->len == 0)
+		return;
+	if (rn->next_poll_ms <= s->now_ms) {
+		rn->next_poll_ms = s->now_ms + FIND_ADDRESS_MS;
+		g_hash_table_iter_init(&it, s->runners);
+		while (!rn->address && g_hash_table_iter_next(&it, NULL, &value)) {
+			const struct cell_runner *other = value;
+
+			if (other->host == rn->host && other->address)
+				cell_runner_set_address(rn, other->address, other->dc);
+		}
+	}
+	*next = MIN(*next, rn->next_poll_ms);
+}
+
 /* Returns true if the runner can be removed. */
 static bool check_runner(struct scheduler *s, struct cell_runner *rn, int64_t *next)
 {
@@ -313,9 +343,13 @@
 
 	if (rn->runs->len && cell_runner_leases_lapsed(rn, s->now_ms))
 		lose_lapsed(s, rn);
+	else if (rn->runs->len && (rn->misses || !rn->contacted))
+		*next = MIN(*next, rn->granted_until_ms + 1);
 	if (rn->gone && rn->runs->len == 0 && rn->unacked_end_batch <= s->batch_acked)
 		return true;
 	check_runs(s, rn, next);
+	*next = lapse_check(s, rn, *next);
+	find_address(s, rn, next);
 	if (rn->polling || !rn->address)
 		return false;
 	due = poll_due(s, rn);
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -211,7 +211,8 @@
 static void start_unanswered(struct scheduler *s, struct run *r)
 {
 	r->state = RUN_UNCONFIRMED;
-	if (r->stopping || r->start_orders >= START_ORDERS_MAX || s->now_ms > s->grant_until_ms) {
+	if (r->stopping || r->start_orders >= START_ORDERS_MAX || s->now_ms > s->grant_until_ms ||
+	    r->runner->lapsing) {
 		r->stopping = true;
 		scheduler_report_run(s, DECISION_UNANSWERED, r);
 		runs_send_stop(s, r);
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -1,6 +1,7 @@
 #define G_LOG_DOMAIN "scheduler"
 
 #include "advice_request.h"
+#include "lapse.h"
 
 #define ADVICE_RETRY_MS	 200  /* after a request without an answer */
 #define START_TRANSIT_MS 60   /* of a start order to its runner: two regions and a relaying node */
@@ -53,7 +54,7 @@
 bool scheduler_can_use_runner(const struct scheduler *s, const struct cell_runner *rn)
 {
 	/* How much room runs of unread jobs take is not known yet. */
-	return rn->contacted && !rn->gone && !rn->draining && rn->misses == 0 &&
+	return rn->contacted && !rn->gone && !rn->draining && rn->misses == 0 && !rn->lapsing &&
 	       !rn->has_unread_runs && rn->quarantined_until_ms <= s->now_ms &&
 	       rn->unexpected_until_ms <= s->now_ms;
 }
@@ -74,6 +75,14 @@
 	scheduler_mark_dirty(s, j);
 }
 
+static uint64_t find_host(const Cell__Progress *m, const char *runner)
+{
+	for (size_t i = 0; i < m->n_runner; i++)
+		if (g_str_equal(m->runner[i]->id, runner))
+			return m->runner[i]->host;
+	return 0;
+}
+
 /* A run in the log may exist until its runner, or the end of its lease, shows otherwise. */
 static void inherit_run(struct scheduler *s, struct cell_job *j, const Cell__TaskProgress *t)
 {
@@ -95,8 +104,12 @@
 	 * older incarnation is kept too, until a poll shows whether it exists. A newer incarnation
 	 * of a runner that has answered shows in a reply.
 	 */
-	if (!rn->contacted)
+	if (!rn->host)
+		rn->host = find_host(j->stored_progress, t->runner);
+	if (!rn->contacted) {
 		rn->incarnation_ms = MAX(rn->incarnation_ms, t->born_ms);
+		rn->granted_until_ms = MAX(rn->granted_until_ms, lapse_inherited_end_ms(s, rn));
+	}
 	r = runs_create(s, j, t->task, t->run);
 	r->state = RUN_UNCONFIRMED;
 	r->inherited = true;
@@ -247,6 +260,8 @@
 	s->begun_jobs = g_ptr_array_new();
 	s->planned_runs = g_ptr_array_new();
 	s->team_use = team_use_create();
+	lapse_init(s, conf->lease_ends);
+	s->conf.lease_ends = NULL;
 	job_table_each(jobs, inherit_job, s);
 	return s;
 }
@@ -272,6 +287,7 @@
 		return;
 	job_table_each(s->jobs, detach_job, NULL);
 	team_use_destroy(s->team_use);
+	lapse_clear(s);
 	g_ptr_array_unref(s->planned_runs);
 	g_ptr_array_unref(s->begun_jobs);
 	g_ptr_array_unref(s->dirty_jobs);
@@ -292,6 +308,24 @@
 	s->grant_until_ms = until_ms;
 }
 
+void scheduler_inherit_until(struct scheduler *s, int64_t until_ms)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (until_ms >= s->inherited_until_ms)
+		return;
+	s->inherited_until_ms = until_ms;
+	g_hash_table_iter_init(&it, s->runners);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct cell_runner *rn = value;
+
+		/* The others have a bound of their own. */
+		if (!rn->contacted && !rn->restarted)
+			rn->granted_until_ms = lapse_inherited_end_ms(s, rn);
+	}
+}
+
 void scheduler_configure(struct scheduler *s, const struct queues *q)
 {
 	s->queues = q;
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -4,6 +4,7 @@
 #include "process/admission.h"
 #include "process/job_table.h"
 #include "process/cell_runner.h"
+#include "process/lease_ends.h"
 #include "version/queues.h"
 
 /*
@@ -140,6 +141,8 @@
 	DECISION_RUNNER_QUARANTINED, /* too many of its runs failed in a row */
 	DECISION_RUNNER_RESTARTED,
 	DECISION_RUNNER_REPLACED, /* another runner answers at its address */
+	DECISION_LEASE_LAPSING,	  /* its lease is not renewed any more */
+	DECISION_LEASE_RESUMED,	  /* its lease may be renewed again */
 };
 
 /* Why a run counts as lost. */
@@ -158,7 +161,7 @@
 	uint32_t task;
 	uint32_t run;
 	int64_t age_ms;	  /* of the job, of the run, or since the runner's last answer; length of a
-			     quarantine */
+			     quarantine; rest of a lease that lapses */
 	enum run_end end; /* of DECISION_END_IGNORED */
 	enum run_loss loss;	    /* of DECISION_LOST */
 	int64_t survived_ms;	    /* of DECISION_LOST: see cell_runner_survived_ms() */
@@ -190,8 +193,14 @@
 	uint32_t stop_ms;	 /* longest time that a runner takes to stop a task */
 	uint32_t write_every_ms; /* between batches, as each is a call to the store */
 	uint32_t status_keep_ms; /* ended jobs are kept this long */
-	/* Longest time from now that runs of earlier schedulers last on an unreachable runner. */
+	/*
+	 * Longest time from now that runs of earlier schedulers last on an unreachable runner,
+	 * unless lease_ends tells a shorter one. lease_ends is read on creation only; NULL for
+	 * none.
+	 */
 	uint32_t inherited_ms;
+	const struct lease_ends *lease_ends;
+	uint64_t term;		   /* of this scheduler */
 	uint32_t quota_over_milli; /* share by which a gang may exceed its team's cap, in 1/1000 */
 };
 
@@ -207,6 +216,11 @@
  * may exist by then, and it relies on the time at which the last lease ends. Unlimited by default.
  */
 void scheduler_grant_until(struct scheduler *s, int64_t until_ms);
+/*
+ * scheduler_inherit_until - no lease of an earlier scheduler lasts after until_ms. A later time
+ * than that known so far changes nothing.
+ */
+void scheduler_inherit_until(struct scheduler *s, int64_t until_ms);
 /* scheduler_set_advisor_clients - sets how many nodes can ask the advisor at the same time. */
 void scheduler_set_advisor_clients(struct scheduler *s, uint32_t n);
 /* scheduler_update_runner - adds a runner, or updates it from the platform's list. */
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -9,8 +9,8 @@
  * Internals of the scheduler, by file: scheduler.c jobs; runners.c incarnations, leases and polls
  * of runners; poll.c replies to polls; runs.c start and stop orders; placement.c,
  * gang_placement.c, pending_step.c, fair_order.c, advice_request.c, reserve.c and isolate.c
- * placement of tasks; admit.c admission of jobs; crash.c tasks that crash their runners; progress.c
- * and progress_record.c the log; stats.c counters.
+ * placement of tasks; admit.c admission of jobs; lapse.c leases that are not renewed; crash.c tasks
+ * that crash their runners; progress.c and progress_record.c the log; stats.c counters.
  */
 
 #define ORDER_MARGIN_MS 250  /* a ticket must outlast the write of the intent and the start */
@@ -30,6 +30,10 @@
 	GPtrArray *begun_jobs;	 /* struct cell_job whose first start is not in the log yet */
 	GPtrArray *planned_runs; /* struct run with no stored intent */
 	struct team_use *team_use;
+	GHashTable *lapsing;   /* struct lapsing by the runner's id; see lapse.h */
+	bool lapse_due;	       /* their record has to be written */
+	bool lapse_full;       /* it doesn't name all silent runners */
+	int64_t lapse_sent_ms; /* when it was written last */
 	uint32_t next_handle;
 	uint64_t last_poll_id;
 	uint64_t batch_next; /* number of the next batch */
--- a/packages/cell/process/step_room.c
+++ b/packages/cell/process/step_room.c
@@ -60,7 +60,7 @@
 	return best ? best->runner : NULL;
 }
 
-static bool is_emptier(const struct place *a, const struct place *b, uint32_t avoid_host)
+static bool is_emptier(const struct place *a, const struct place *b, uint64_t avoid_host)
 {
 	bool avoid_a = a->runner->host == avoid_host;
 	bool avoid_b = b->runner->host == avoid_host;
@@ -69,7 +69,7 @@
 }
 
 struct cell_runner *step_room_emptiest(const struct step_room *r, uint32_t avoid,
-				       uint32_t avoid_host)
+				       uint64_t avoid_host)
 {
 	const struct place *best = NULL;
 
--- a/packages/cell/process/step_room.h
+++ b/packages/cell/process/step_room.h
@@ -23,7 +23,7 @@
  * host than avoid_host if there is one.
  */
 struct cell_runner *step_room_emptiest(const struct step_room *r, uint32_t avoid,
-				       uint32_t avoid_host);
+				       uint64_t avoid_host);
 /* step_room_taken - room on the runner was used or reserved. */
 void step_room_taken(struct step_room *r, struct cell_runner *rn);
 /* step_room_holds - true if there is room for that many tasks. */
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -40,7 +40,7 @@
 	uint32_t certain_crashes; /* those of crashes whose end is certain */
 	uint32_t certain_early_crashes; /* those of early_crashes whose end is certain */
 	uint32_t crash_run;		/* last run that was counted, 0 for none */
-	uint32_t crash_host;	/* of its runner; 0 if it isn't known, or the task was cleared */
+	uint64_t crash_host;	/* of its runner; 0 if it isn't known, or the task was cleared */
 	bool crash_was_early;	/* that one */
 	bool crash_was_alone;	/* the last certain one was on a runner without other runs */
 	bool crash_is_certain;	/* that one's runner has ended, or is known to live on */
--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -111,6 +111,7 @@
 		p->dc = g_strdup(e->link_hello->dc);
 		p->cpu_milli = e->link_hello->cpu_milli;
 		log_info("accept", p->name, "linked");
+		p->links->ops->peer_named(p->links->ctx, p->name);
 		p->links->ops->peers_changed(p->links->ctx, p->links->peer->len);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STATE_ASK) {
 		reply_state(p, e->state_ask);
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -48,6 +48,8 @@
 	void (*connection_refused)(void *ctx);
 	/* store_reachable - whether this node, as the scheduler, still reaches the store. */
 	bool (*store_reachable)(void *ctx);
+	/* peer_named - the process name (NODE/START) has linked to this one. */
+	void (*peer_named)(void *ctx, const char *name);
 	/* peers_changed - n nodes are now linked to this one. */
 	void (*peers_changed)(void *ctx, uint32_t n);
 };
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -94,7 +94,9 @@
 		[DECISION_RUNNER_SILENT] = "silent for",
 		[DECISION_RUNNER_RECOVERED] = "answers again after",
 		[DECISION_RUNNER_QUARANTINED] = "its runs fail; no starts for",
-		[DECISION_RUNNER_REPLACED] = "another runner answers at its address; last answer"
+		[DECISION_RUNNER_REPLACED] = "another runner answers at its address; last answer",
+		[DECISION_LEASE_LAPSING] = "its lease is not renewed any more; rest of it",
+		[DECISION_LEASE_RESUMED] = "its lease is renewed again; last answer"
 	};
 
 	if (d->kind == DECISION_RUNNER_RESTARTED) {
@@ -122,6 +124,8 @@
 					     [DECISION_RUNNER_QUARANTINED] = "runner_barred",
 					     [DECISION_RUNNER_RESTARTED] = "runner_born",
 					     [DECISION_RUNNER_REPLACED] = "runner_replaced",
+					     [DECISION_LEASE_LAPSING] = "lease_lapsing",
+					     [DECISION_LEASE_RESUMED] = "lease_resumed",
 					     [DECISION_PREEMPTED] = "run_preempted",
 					     [DECISION_CAP_LOWERED] = "start_over_cap",
 					     [DECISION_END_IGNORED] = "end_ignored" };
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -15,6 +15,13 @@
 #define JITTER_MS	  200 /* spreads the claims of several nodes */
 /* How long the named successor, or a renewal of a suspected holder, is waited for. */
 #define SUCCESSOR_WAIT_MS 400
+#define PRIOR_HOLDERS_MAX 8 /* more are replaced only by a lease that goes round */
+
+/* An earlier holder, which may still run. */
+struct prior_holder {
+	char *self;
+	int64_t grants_end_ms; /* it grants no leases after that */
+};
 
 struct election {
 	struct store store;
@@ -51,7 +58,11 @@
 	uint32_t jitter_ms;
 	bool low_priority;
 	int64_t vacant_since_ms;     /* since when the lease is free, 0 while it is held */
-	int64_t prior_grants_end_ms; /* earlier holders grant no leases after it */
+	int64_t renewal_read_ms;     /* when a claim or renewal of the holder was read last */
+	GArray *prior_holder;	     /* of struct prior_holder, oldest first */
+	int64_t prior_grants_end_ms; /* holders that are not in prior_holder grant no leases after
+				      * it
+				      */
 };
 
 /* Whether a and b (NODE/START) are different processes of the same node. */
@@ -69,18 +80,49 @@
 	return e->holder && other_process_of_node(e->self, e->holder);
 }
 
-/* A holder that may still run grants leases to runners until it notices that it was replaced. */
-static void replace_holder(struct election *e, const char *by)
+static void clear_prior_holder(gpointer data)
+{
+	g_free(((struct prior_holder *)data)->self);
+}
+
+/*
+ * A holder that may still run grants leases to runners until it notices that it was replaced. Its
+ * last acknowledged renewal was sent before this node read it.
+ */
+static int64_t grants_end_of_holder(const struct election *e, const char *by)
 {
-	bool ended = !e->holder || other_process_of_node(e->holder, by);
-	int64_t left_ms = ended ? 0 : e->holder_released ? ELECTION_HANDOVER_MS : ELECTION_GRANT_MS;
+	if (other_process_of_node(e->holder, by))
+		return node_now_ms();
+	return e->holder_released ? node_now_ms() + ELECTION_HANDOVER_MS
+				  : e->renewal_read_ms + ELECTION_GRANT_MS;
+}
+
+static void add_prior_holder(struct election *e, const char *by)
+{
+	const struct prior_holder h = { .self = g_strdup(e->holder),
+					.grants_end_ms = grants_end_of_holder(e, by) };
+
+	if (e->prior_holder->len == PRIOR_HOLDERS_MAX) {
+		e->prior_grants_end_ms =
+			MAX(e->prior_grants_end_ms,
+			    g_array_index(e->prior_holder, struct prior_holder, 0).grants_end_ms);
+		g_array_remove_index(e->prior_holder, 0);
+	}
+	g_array_append_val(e->prior_holder, h);
+}
 
-	e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, node_now_ms() + left_ms);
+static void replace_holder(struct election *e, const char *by)
+{
+	if (e->holder)
+		add_prior_holder(e, by);
+	else
+		e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, node_now_ms());
 	e->holder_released = false;
 	e->named = false;
 	e->holder_unknown = false;
 	g_free(e->holder);
 	e->holder = g_strdup(by);
+	e->renewal_read_ms = node_now_ms();
 }
 
 static void become_leader(struct election *e, uint64_t term, int64_t append_sent_ms)
@@ -153,6 +195,7 @@
 		apply_claim(e, m, rec->offset + 1);
 	} else if (m->kind == CELL__LEAD_KIND__RENEWAL && m->term == e->term) {
 		e->holder_heard_ms = node_now_ms();
+		e->renewal_read_ms = node_now_ms();
 	} else if (m->kind == CELL__LEAD_KIND__RELEASE && m->term == e->term && !e->leading) {
 		apply_release(e, m);
 	}
@@ -166,6 +209,7 @@
 	e->prior_grants_end_ms = MAX(e->prior_grants_end_ms, now + ELECTION_GRANT_MS);
 	e->holder_unknown = !e->holder;
 	e->holder_heard_ms = now;
+	e->renewal_read_ms = now;
 }
 
 static void on_read(void *ctx, enum store_result result, const struct store_page *page)
@@ -342,6 +386,8 @@
 	e->jitter_ms =
 		g_random_int_range(0, JITTER_MS) + (low_priority ? ELECTION_LOW_PRIORITY_MS : 0);
 	e->low_priority = low_priority;
+	e->prior_holder = g_array_new(FALSE, FALSE, sizeof(struct prior_holder));
+	g_array_set_clear_func(e->prior_holder, clear_prior_holder);
 	return e;
 }
 
@@ -358,6 +404,7 @@
 		return;
 	if (e->timer)
 		g_source_remove(e->timer);
+	g_array_unref(e->prior_holder);
 	g_free(e->successor);
 	g_free(e->holder);
 	g_free(e->address);
@@ -425,7 +472,29 @@
 
 int64_t election_prior_grants_end_ms(const struct election *e)
 {
-	return e->prior_grants_end_ms;
+	int64_t end_ms = e->prior_grants_end_ms;
+
+	for (guint i = 0; i < e->prior_holder->len; i++)
+		end_ms = MAX(end_ms,
+			     g_array_index(e->prior_holder, struct prior_holder, i).grants_end_ms);
+	return end_ms;
+}
+
+static int64_t start_of(const char *self)
+{
+	const char *slash = strchr(self, '/');
+
+	return slash ? g_ascii_strtoll(slash + 1, NULL, 10) : 0;
+}
+
+void election_process_started(struct election *e, const char *self)
+{
+	for (guint i = 0; i < e->prior_holder->len; i++) {
+		struct prior_holder *h = &g_array_index(e->prior_holder, struct prior_holder, i);
+
+		if (other_process_of_node(h->self, self) && start_of(h->self) < start_of(self))
+			h->grants_end_ms = MIN(h->grants_end_ms, node_now_ms());
+	}
 }
 
 bool election_handover_done(const struct election *e)
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -69,6 +69,11 @@
 int64_t election_grants_end_ms(const struct election *e);
 /* election_prior_grants_end_ms - time after which no earlier holder grants leases to runners. */
 int64_t election_prior_grants_end_ms(const struct election *e);
+/*
+ * election_process_started - this node has heard from the process self (NODE/START), so earlier
+ * processes of that node have ended, and grant no more leases.
+ */
+void election_process_started(struct election *e, const char *self);
 /*
  * election_handover_done - whether the lease was released and another node has claimed it, or the
  * wait for it is over, or this node did not hold it.
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -8,9 +8,10 @@
 #define TICK_MS		 20
 /*
  * Added to the term. Raised with each format of the progress records that earlier releases misread,
- * so that the store refuses their schedulers once a newer one has written.
+ * so that the store refuses their schedulers once a newer one has written. The second format has
+ * the ends of leases, which bind all schedulers.
  */
-#define FORMAT_EPOCH (UINT64_C(1) << 32)
+#define FORMAT_EPOCH (UINT64_C(2) << 32)
 
 static uint64_t epoch_of(uint64_t term)
 {
@@ -68,6 +69,7 @@
 void joblog_reload(struct joblog *j)
 {
 	job_table_destroy(j->jobs);
+	lease_ends_reload(j->lease_ends);
 	j->jobs = job_table_create();
 	job_table_watch(j->jobs, &job_table_ops, j);
 	for (uint32_t i = 0; i < PARTS; i++)
@@ -200,6 +202,16 @@
 	g_ptr_array_set_size(j->progress_deletes, 0);
 }
 
+/* After the term this node reads the record again, but the time counts from its writing. */
+static void note_lease_ends(struct joblog *j, const GPtrArray *records)
+{
+	for (guint i = 0; i < records->len; i++) {
+		const struct log_record *r = records->pdata[i];
+
+		lease_ends_apply(j->lease_ends, r->key, r->value, r->size, node_now_ms());
+	}
+}
+
 void joblog_write(struct joblog *j, uint64_t batch, GPtrArray *records)
 {
 	struct batch *b = g_new0(struct batch, 1);
@@ -207,6 +219,7 @@
 	b->number = batch;
 	b->seq = j->seq++;
 	b->records = records;
+	note_lease_ends(j, records);
 	add_progress_deletes(j, records);
 	g_ptr_array_add(j->batch, b);
 	if (may_send(j, j->batch->len - 1))
@@ -365,6 +378,7 @@
 		j->reader[i].log = j;
 		j->reader[i].part = i;
 	}
+	j->lease_ends = lease_ends_create();
 	joblog_reload(j);
 	return j;
 }
@@ -389,9 +403,15 @@
 	g_array_unref(j->next_waiter);
 	g_ptr_array_unref(j->progress_deletes);
 	job_table_destroy(j->jobs);
+	lease_ends_destroy(j->lease_ends);
 	g_free(j);
 }
 
+const struct lease_ends *joblog_lease_ends(const struct joblog *j)
+{
+	return j->lease_ends;
+}
+
 struct job_table *joblog_job_table(struct joblog *j)
 {
 	return j->jobs;
--- a/packages/node/process/joblog.h
+++ b/packages/node/process/joblog.h
@@ -35,6 +35,8 @@
 void joblog_start(struct joblog *j);
 void joblog_tick(struct joblog *j);
 struct job_table *joblog_job_table(struct joblog *j);
+/* joblog_lease_ends - as read so far. */
+const struct lease_ends *joblog_lease_ends(const struct joblog *j);
 /* joblog_loaded - whether the whole log has been read once. */
 bool joblog_loaded(const struct joblog *j);
 /*
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -41,6 +41,7 @@
 	const struct joblog_ops *ops;
 	void *ctx;
 	struct job_table *jobs;
+	struct lease_ends *lease_ends;
 	struct reader reader[PARTS];
 	guint timer;
 	GArray *waiter;	     /* for the current refresh */
--- a/packages/node/process/joblog_read.c
+++ b/packages/node/process/joblog_read.c
@@ -30,12 +30,20 @@
 	return !j->leading || part == JOBLOG_JOBS;
 }
 
+static bool apply_record(struct joblog *j, const struct store_record *rec)
+{
+	if (g_str_equal(rec->key, LEASE_ENDS_KEY))
+		return lease_ends_apply(j->lease_ends, rec->key, rec->value, rec->size,
+					node_now_ms());
+	return job_table_apply(j->jobs, rec->key, rec->value, rec->size);
+}
+
 static void apply(struct joblog *j, const struct store_page *page)
 {
 	for (size_t i = 0; i < page->n; i++) {
 		const struct store_record *rec = &page->record[i];
 
-		if (!rec->key || !job_table_apply(j->jobs, rec->key, rec->value, rec->size))
+		if (!rec->key || !apply_record(j, rec))
 			log_warn("read", NULL, "unreadable record at offset %" G_GUINT64_FORMAT,
 				 rec->offset);
 	}
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -124,6 +124,13 @@
 	n->step_down_source = g_idle_add(on_step_down, n);
 }
 
+/* Time by which the last lease that an earlier scheduler granted has ended. */
+static int64_t inherited_until_ms(const struct node *n)
+{
+	return election_prior_grants_end_ms(n->election) +
+	       cell_runner_lease_bound_ms(n->conf.scheduler.lease_ms);
+}
+
 static void on_term_begun(void *ctx, enum store_result result)
 {
 	struct node *n = ctx;
@@ -136,8 +143,9 @@
 		node_step_down_soon(n, "the job log");
 		return;
 	}
-	conf.inherited_ms = (uint32_t)(MAX(prior_grants_end_ms - now, 0) +
-				       cell_runner_lease_bound_ms(conf.lease_ms));
+	conf.inherited_ms = (uint32_t)MAX(inherited_until_ms(n) - now, 0);
+	conf.lease_ends = joblog_lease_ends(n->log);
+	conf.term = n->term;
 	n->scheduler =
 		scheduler_create(&conf, joblog_job_table(n->log), &node_scheduler_ops, n, now);
 	n->yield_min_ms = now + YIELD_AFTER_MS;
@@ -265,6 +273,18 @@
 	node_handle_advice(ctx, call, answered, ticket, n, validity_ms);
 }
 
+/* A killed scheduler's node runs a new process: its predecessor's last leases end the sooner. */
+static void on_peer_named(void *ctx, const char *name)
+{
+	struct node *n = ctx;
+
+	election_process_started(n->election, name);
+	if (!n->scheduler)
+		return;
+	scheduler_inherit_until(n->scheduler, inherited_until_ms(n));
+	node_schedule_pass(n);
+}
+
 static void on_peers_changed(void *ctx, uint32_t count)
 {
 	struct node *n = ctx;
@@ -346,6 +366,7 @@
 	.job_state = on_state_requested,
 	.advice_requested = on_advice_requested,
 	.advice_received = on_advice_received,
+	.peer_named = on_peer_named,
 	.peers_changed = on_peers_changed,
 };
 
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &cell__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell__lease_end__init
+                     (Cell__LeaseEnd         *message)
+{
+  static const Cell__LeaseEnd init_value = CELL__LEASE_END__INIT;
+  *message = init_value;
+}
+size_t cell__lease_end__get_packed_size
+                     (const Cell__LeaseEnd *message)
+{
+  assert(message->base.descriptor == &cell__lease_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__lease_end__pack
+                     (const Cell__LeaseEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__lease_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__lease_end__pack_to_buffer
+                     (const Cell__LeaseEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__lease_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__LeaseEnd *
+       cell__lease_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__LeaseEnd *)
+     protobuf_c_message_unpack (&cell__lease_end__descriptor,
+                                allocator, len, data);
+}
+void   cell__lease_end__free_unpacked
+                     (Cell__LeaseEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__lease_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cell__lease_ends__init
+                     (Cell__LeaseEnds         *message)
+{
+  static const Cell__LeaseEnds init_value = CELL__LEASE_ENDS__INIT;
+  *message = init_value;
+}
+size_t cell__lease_ends__get_packed_size
+                     (const Cell__LeaseEnds *message)
+{
+  assert(message->base.descriptor == &cell__lease_ends__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell__lease_ends__pack
+                     (const Cell__LeaseEnds *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell__lease_ends__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell__lease_ends__pack_to_buffer
+                     (const Cell__LeaseEnds *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell__lease_ends__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cell__LeaseEnds *
+       cell__lease_ends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cell__LeaseEnds *)
+     protobuf_c_message_unpack (&cell__lease_ends__descriptor,
+                                allocator, len, data);
+}
+void   cell__lease_ends__free_unpacked
+                     (Cell__LeaseEnds *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell__lease_ends__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cell__lead__init
                      (Cell__Lead         *message)
 {
@@ -1715,7 +1805,7 @@
   (ProtobufCMessageInit) cell__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__runner_ref__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cell__runner_ref__field_descriptors[3] =
 {
   {
     "id",
@@ -1741,15 +1831,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__RunnerRef, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__runner_ref__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  2,   /* field[2] = host */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange cell__runner_ref__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cell__runner_ref__descriptor =
 {
@@ -1759,7 +1862,7 @@
   "Cell__RunnerRef",
   "cell",
   sizeof(Cell__RunnerRef),
-  2,
+  3,
   cell__runner_ref__field_descriptors,
   cell__runner_ref__field_indices_by_name,
   1,  cell__runner_ref__number_ranges,
@@ -1856,6 +1959,134 @@
   (ProtobufCMessageInit) cell__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cell__lease_end__field_descriptors[3] =
+{
+  {
+    "runner",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeaseEnd, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeaseEnd, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeaseEnd, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__lease_end__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = left_ms */
+  0,   /* field[0] = runner */
+};
+static const ProtobufCIntRange cell__lease_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cell__lease_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.LeaseEnd",
+  "LeaseEnd",
+  "Cell__LeaseEnd",
+  "cell",
+  sizeof(Cell__LeaseEnd),
+  3,
+  cell__lease_end__field_descriptors,
+  cell__lease_end__field_indices_by_name,
+  1,  cell__lease_end__number_ranges,
+  (ProtobufCMessageInit) cell__lease_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell__lease_ends__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeaseEnds, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeaseEnds, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cell__LeaseEnds, n_runner),
+    offsetof(Cell__LeaseEnds, runner),
+    &cell__lease_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell__lease_ends__field_indices_by_name[] = {
+  1,   /* field[1] = batch */
+  2,   /* field[2] = runner */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange cell__lease_ends__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cell__lease_ends__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cell.LeaseEnds",
+  "LeaseEnds",
+  "Cell__LeaseEnds",
+  "cell",
+  sizeof(Cell__LeaseEnds),
+  3,
+  cell__lease_ends__field_descriptors,
+  cell__lease_ends__field_indices_by_name,
+  1,  cell__lease_ends__number_ranges,
+  (ProtobufCMessageInit) cell__lease_ends__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cell__lead__field_descriptors[5] =
 {
   {
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Cell__TaskProgress Cell__TaskProgress;
 typedef struct Cell__RunnerRef Cell__RunnerRef;
 typedef struct Cell__Progress Cell__Progress;
+typedef struct Cell__LeaseEnd Cell__LeaseEnd;
+typedef struct Cell__LeaseEnds Cell__LeaseEnds;
 typedef struct Cell__Lead Cell__Lead;
 typedef struct Cell__LinkHello Cell__LinkHello;
 typedef struct Cell__LeadBeat Cell__LeadBeat;
@@ -157,10 +159,14 @@
   ProtobufCMessage base;
   char *id;
   int64_t born_ms;
+  /*
+   * Hash of its address; 0 if unknown. The platform lists it no more soon after it has ended.
+   */
+  uint64_t host;
 };
 #define CELL__RUNNER_REF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__runner_ref__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cell__Progress
@@ -182,6 +188,44 @@
     , 0, 0, 0,NULL, {0,NULL}, 0,NULL }
 
 
+struct  Cell__LeaseEnd
+{
+  ProtobufCMessage base;
+  char *runner;
+  /*
+   * Start of the incarnation that holds the lease.
+   */
+  int64_t born_ms;
+  /*
+   * Longest time from the writing of the record until the lease has ended.
+   */
+  uint32_t left_ms;
+};
+#define CELL__LEASE_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__lease_end__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Runners whose leases nobody renews, since they are silent. As long as a runner is named here, no
+ * scheduler may grant it a lease.
+ */
+struct  Cell__LeaseEnds
+{
+  ProtobufCMessage base;
+  /*
+   * Of the scheduler that wrote the record, and the number of the batch: different in each record.
+   */
+  uint64_t term;
+  uint64_t batch;
+  size_t n_runner;
+  Cell__LeaseEnd **runner;
+};
+#define CELL__LEASE_ENDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell__lease_ends__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 struct  Cell__Lead
 {
   ProtobufCMessage base;
@@ -553,6 +597,44 @@
 void   cell__progress__free_unpacked
                      (Cell__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Cell__LeaseEnd methods */
+void   cell__lease_end__init
+                     (Cell__LeaseEnd         *message);
+size_t cell__lease_end__get_packed_size
+                     (const Cell__LeaseEnd   *message);
+size_t cell__lease_end__pack
+                     (const Cell__LeaseEnd   *message,
+                      uint8_t             *out);
+size_t cell__lease_end__pack_to_buffer
+                     (const Cell__LeaseEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__LeaseEnd *
+       cell__lease_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__lease_end__free_unpacked
+                     (Cell__LeaseEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Cell__LeaseEnds methods */
+void   cell__lease_ends__init
+                     (Cell__LeaseEnds         *message);
+size_t cell__lease_ends__get_packed_size
+                     (const Cell__LeaseEnds   *message);
+size_t cell__lease_ends__pack
+                     (const Cell__LeaseEnds   *message,
+                      uint8_t             *out);
+size_t cell__lease_ends__pack_to_buffer
+                     (const Cell__LeaseEnds   *message,
+                      ProtobufCBuffer     *buffer);
+Cell__LeaseEnds *
+       cell__lease_ends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell__lease_ends__free_unpacked
+                     (Cell__LeaseEnds *message,
+                      ProtobufCAllocator *allocator);
 /* Cell__Lead methods */
 void   cell__lead__init
                      (Cell__Lead         *message);
@@ -912,6 +994,12 @@
 typedef void (*Cell__Progress_Closure)
                  (const Cell__Progress *message,
                   void *closure_data);
+typedef void (*Cell__LeaseEnd_Closure)
+                 (const Cell__LeaseEnd *message,
+                  void *closure_data);
+typedef void (*Cell__LeaseEnds_Closure)
+                 (const Cell__LeaseEnds *message,
+                  void *closure_data);
 typedef void (*Cell__Lead_Closure)
                  (const Cell__Lead *message,
                   void *closure_data);
@@ -978,6 +1066,8 @@
 extern const ProtobufCMessageDescriptor cell__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor cell__runner_ref__descriptor;
 extern const ProtobufCMessageDescriptor cell__progress__descriptor;
+extern const ProtobufCMessageDescriptor cell__lease_end__descriptor;
+extern const ProtobufCMessageDescriptor cell__lease_ends__descriptor;
 extern const ProtobufCMessageDescriptor cell__lead__descriptor;
 extern const ProtobufCMessageDescriptor cell__link_hello__descriptor;
 extern const ProtobufCMessageDescriptor cell__lead_beat__descriptor;
--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -204,6 +204,8 @@
 					     .write_every_ms = f->write_every_ms,
 					     .status_keep_ms = 120000,
 					     .inherited_ms = f->inherited_ms,
+					     .lease_ends = f->lease_ends,
+					     .term = ++f->term,
 					     .quota_over_milli = 100 };
 
 	f->sched = scheduler_create(&conf, f->jobs, &ops, f, f->now_ms);
--- a/tests/cell/fixture.h
+++ b/tests/cell/fixture.h
@@ -49,12 +49,15 @@
 	uint32_t write_every_ms; /* for the next scheduler; 0 by default */
 	uint32_t inherited_ms;	 /* for the next scheduler; 15 s by default */
 	int64_t incarnation_ms;	 /* incarnation of the runners that answer polls */
-	GArray *start;		 /* orders without an answer, oldest first */
+	struct lease_ends
+		*lease_ends; /* for the next scheduler; NULL by default, owned by the test */
+	GArray *start;	     /* orders without an answer, oldest first */
 	GArray *stop;
 	GArray *poll;
 	GArray *advice;
 	uint64_t batch;	    /* last one not acknowledged, 0 for none */
 	GPtrArray *records; /* of the batch */
+	uint64_t term;	    /* of the scheduler */
 	uint32_t fenced;
 	uint32_t starts; /* start orders so far */
 	uint32_t advice_requests;
--- a/tests/cell/sim_priv.h
+++ b/tests/cell/sim_priv.h
@@ -48,6 +48,7 @@
 	struct sim *sim;
 	struct scheduler *sched;
 	struct job_table *jobs;
+	struct lease_ends *lease_ends;
 	uint64_t term;
 	struct sim_caps caps; /* of its configuration */
 	bool dead;
@@ -90,6 +91,7 @@
 	GPtrArray *queues; /* all configurations, the current one last */
 	GArray *caps;	   /* struct sim_caps, as the configurations */
 	GPtrArray *log;	   /* struct log_record, of all partitions */
+	GArray *log_ms;	   /* int64_t: when each of them was stored */
 	uint64_t epoch;
 	GHashTable *done; /* by task whose end as done was acknowledged: time until which starts are
 			     allowed */
--- a/tests/node/endpoint.c
+++ b/tests/node/endpoint.c
@@ -78,6 +78,12 @@
 {
 }
 
+static void on_peer_named(void *ctx, const char *name)
+{
+	g_strlcpy(((struct endpoint *)ctx)->last_peer, name,
+		  sizeof(((struct endpoint *)ctx)->last_peer));
+}
+
 static void on_peers_changed(void *ctx, uint32_t n)
 {
 	((struct endpoint *)ctx)->peers = n;
@@ -98,6 +104,7 @@
 	.order_replied = on_order_replied,
 	.peer_lost = on_peer_lost,
 	.connection_refused = on_connection_refused,
+	.peer_named = on_peer_named,
 	.peers_changed = on_peers_changed,
 };
 
