--- a/tests/cell/test_lapse.c
+++ b/tests/cell/test_lapse.c
@@ -5,12 +5,12 @@
 /* Leases of silent runners, over several schedulers. */
 
 #define ID_A	     "00000000000000a1"
-#define STEP_MS	     100
-#define LEASE_END_MS 6220 /* a lease of 6 s on a clock that is 2% slow, and slack */
+#define STEP_MS	     INT64_C(100)
+#define LEASE_END_MS INT64_C(6220) /* a lease of 6 s on a clock that is 2% slow, and slack */
 /* Until a second poll is missed and the batch with the record is stored. */
 #define NOTICE_MS 1000
 /* A new node doesn't know when the last record was written, up to so long ago. */
-#define RESTATE_MS 600
+#define RESTATE_MS INT64_C(600)
 /* Of a new scheduler that can't rely on a record: its predecessor may grant leases for 3 s. */
 #define INHERITED_MS 9220
 
@@ -419,13 +419,12 @@
 	g_autoptr(GArray) ends = g_array_new(FALSE, FALSE, sizeof(struct lease_end));
 	g_autofree char *id = g_strnfill(255, 'x');
 	const struct lease_end end = { .runner = id, .incarnation_ms = 1, .end_ms = 6000 };
-	g_autofree uint8_t *value = NULL;
 	guint named;
 	size_t size;
 
 	for (int i = 0; i < 5000; i++)
 		g_array_append_val(ends, end);
-	value = lease_ends_pack(ends, 1, 1, 0, &named, &size);
+	g_free(lease_ends_pack(ends, 1, 1, 0, &named, &size));
 	cr_expect_leq(size, LEASE_ENDS_MAX_BYTES);
 	cr_expect_gt(named, 400);
 	cr_expect_lt(named, 500);
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -406,7 +406,7 @@
 	while (!c[2].term)
 		advance(l, c, 3, TICK_MS);
 	election_process_started(c[2].election, "b/2");
-	cr_expect_geq(election_prior_grants_end_ms(c[2].election), end_ms - 2 * TICK_MS);
+	cr_expect_geq(election_prior_grants_end_ms(c[2].election), end_ms - INT64_C(2) * TICK_MS);
 	election_process_started(c[2].election, "a/2");
 	cr_expect_leq(election_prior_grants_end_ms(c[2].election), fake_now_ms);
 	teardown(l, c, 3);
--- a/tests/test_json_text.c
+++ b/tests/test_json_text.c
@@ -52,7 +52,7 @@
 /* Brackets in strings are no levels, and nothing that hides brackets from the check is read. */
 Test(json_text, only_brackets_outside_strings_count)
 {
-	g_autofree char *brackets = g_strnfill(2 * JSON_TEXT_DEPTH_MAX, '[');
+	g_autofree char *brackets = g_strnfill((gsize)2 * JSON_TEXT_DEPTH_MAX, '[');
 	g_autofree char *in_string = g_strdup_printf("{\"a\":\"%s\"}", brackets);
 	g_autofree char *after_quote = g_strdup_printf("{\"a\":\"\\\"%s\"}", brackets);
 	g_autofree char *after_backslash = g_strdup_printf("{\"a\":\"\\\\\",\"b\":%s", brackets);
