lapse: comments and names after a reading of the change

No behaviour changes but for one log line: a runner that never answered this scheduler is not reported as one that gets leases again (its age was counted from 0). cell_lapse, cell_takeover, cell_scheduler, node_election, cell_crash and cell_quota pass. With the grants of a lost holder counted from the claim again, grants_of_a_lost_holder_end_after_its_last_renewal and the upper bound of holder_whose_claim_was_trimmed_keeps_the_lease fail.

--- a/packages/cell/process/lapse.c
+++ b/packages/cell/process/lapse.c
@@ -1,5 +1,3 @@
-#define G_LOG_DOMAIN "lapse"
-
 #include "lapse.h"
 
 #define MISSES_MIN  2	 /* polls in a row without a reply; single ones get lost */
@@ -23,7 +21,7 @@
 	g_free(l);
 }
 
-static struct lapsing *add(struct scheduler *s, const struct lease_end *end)
+static void add(struct scheduler *s, const struct lease_end *end)
 {
 	struct lapsing *l = g_new0(struct lapsing, 1);
 
@@ -32,7 +30,6 @@
 	l->end_ms = end->end_ms;
 	l->named = true;
 	g_hash_table_replace(s->lapsing, l->runner, l);
-	return l;
 }
 
 static void inherit(void *ctx, const struct lease_end *end)
@@ -199,8 +196,9 @@
 		if (rn) {
 			rn->lapsing = false;
 			rn->next_poll_ms = MIN(rn->next_poll_ms, s->now_ms);
-			scheduler_report_runner(s, DECISION_LEASE_RESUMED, rn,
-						s->now_ms - rn->answered_ms);
+			if (rn->contacted)
+				scheduler_report_runner(s, DECISION_LEASE_RESUMED, rn,
+							s->now_ms - rn->answered_ms);
 		}
 		g_hash_table_iter_remove(&it);
 	}
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -99,13 +99,13 @@
 		rn = runners_add(s, &unknown);
 		rn->gone = true;
 	}
+	if (!rn->host)
+		rn->host = find_host(j->stored_progress, t->runner);
 	/*
 	 * The order may have reached a newer incarnation than the one in the log, so a run of an
 	 * older incarnation is kept too, until a poll shows whether it exists. A newer incarnation
 	 * of a runner that has answered shows in a reply.
 	 */
-	if (!rn->host)
-		rn->host = find_host(j->stored_progress, t->runner);
 	if (!rn->contacted) {
 		rn->incarnation_ms = MAX(rn->incarnation_ms, t->born_ms);
 		rn->granted_until_ms = MAX(rn->granted_until_ms, lapse_inherited_end_ms(s, rn));
--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -15,7 +15,7 @@
 #define JITTER_MS	  200 /* spreads the claims of several nodes */
 /* How long the named successor, or a renewal of a suspected holder, is waited for. */
 #define SUCCESSOR_WAIT_MS 400
-#define PRIOR_HOLDERS_MAX 8 /* more are replaced only by a lease that goes round */
+#define PRIOR_HOLDERS_MAX 8 /* of older ones only the latest end of their grants is kept */
 
 /* An earlier holder, which may still run. */
 struct prior_holder {
@@ -60,9 +60,7 @@
 	int64_t vacant_since_ms;     /* since when the lease is free, 0 while it is held */
 	int64_t renewal_read_ms;     /* when a claim or renewal of the holder was read last */
 	GArray *prior_holder;	     /* of struct prior_holder, oldest first */
-	int64_t prior_grants_end_ms; /* holders that are not in prior_holder grant no leases after
-				      * it
-				      */
+	int64_t prior_grants_end_ms; /* the same of holders that were in it before */
 };
 
 /* Whether a and b (NODE/START) are different processes of the same node. */
