--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -266,6 +266,76 @@
 	teardown(&f);
 }
 
+static GPtrArray *lease_batch(uint64_t term, int64_t left_ms)
+{
+	g_autoptr(GArray) ends = g_array_new(FALSE, FALSE, sizeof(struct lease_end));
+	const struct lease_end end = { .runner = "r0", .incarnation_ms = 1, .end_ms = left_ms };
+	struct log_record *r = g_new0(struct log_record, 1);
+	GPtrArray *out = g_ptr_array_new();
+	guint named;
+
+	g_array_append_val(ends, end);
+	r->key = g_strdup(LEASE_ENDS_KEY);
+	r->value = lease_ends_pack(ends, term, 1, 0, &named, &r->size);
+	g_ptr_array_add(out, r);
+	return out;
+}
+
+static void note_end(void *ctx, const struct lease_end *end)
+{
+	*(int64_t *)ctx = end->end_ms;
+}
+
+/* -1 for none. */
+static int64_t end_of_lease(const struct fixture *f)
+{
+	int64_t end_ms = -1;
+
+	lease_ends_each(joblog_lease_ends(f->joblog), note_end, &end_ms);
+	return end_ms;
+}
+
+/*
+ * A new scheduler waited for a whole lease, since what was left of it was known to its predecessor
+ * only. A record that was written and not stored counts no more once the log is read again.
+ */
+Test(joblog, ends_of_leases_outlive_the_scheduler)
+{
+	struct fake_log *log = fake_log_create();
+	struct fixture f = { 0 };
+	struct fixture follower = { 0 };
+	int64_t end_ms;
+
+	setup(&f, log);
+	setup(&follower, log);
+	advance(&f, 100);
+	advance(&follower, 100);
+	begin_term(&f, 5);
+	end_ms = fake_now_ms + 6000;
+	joblog_write(f.joblog, 1, lease_batch(5, 6000));
+	advance(&f, 40);
+	cr_expect_eq(f.written, 1);
+	cr_expect_eq(end_of_lease(&f), end_ms);
+	advance(&follower, 1200);
+	cr_expect_geq(end_of_lease(&follower), end_ms);
+	cr_expect_leq(end_of_lease(&follower), end_ms + 1200);
+	joblog_end_term(f.joblog);
+	cr_expect_eq(end_of_lease(&f), -1, "nothing is known until it is read");
+	advance(&f, 200);
+	cr_expect_eq(end_of_lease(&f), end_ms, "it counts from its writing");
+
+	begin_term(&follower, 9);
+	fake_set_mode(follower.client, FAKE_REFUSES);
+	joblog_write(follower.joblog, 1, lease_batch(9, 1));
+	advance(&follower, 200);
+	joblog_end_term(follower.joblog);
+	fake_set_mode(follower.client, FAKE_OK);
+	advance(&follower, 400);
+	cr_expect_geq(end_of_lease(&follower), end_ms, "the record of 1 ms is not in the log");
+	teardown(&f);
+	teardown(&follower);
+}
+
 /* Of two batches in flight the first is lost, and the second refused as out of sequence. */
 Test(joblog, overlapping_batches_are_stored_in_order)
 {
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -30,6 +30,18 @@
 	r->stored = stored;
 }
 
+/* The scheduler learns which process of a node runs now, and so that earlier ones have ended. */
+Test(links, scheduler_learns_the_names_of_processes)
+{
+	struct endpoint a = { 0 };
+	struct endpoint b = { 0 };
+
+	endpoint_connect_pair(&a, &b);
+	cr_expect_str_eq(a.last_peer, "b");
+	endpoint_close(&a);
+	endpoint_close(&b);
+}
+
 Test(links, state_queries_and_appends)
 {
 	struct endpoint a = { 0 };
