cell: reserve room for large tasks only where it will appear

Cause: reserve_on_freest() reserved the whole need of a large task on the freest runners, whatever occupied them. Lasting tasks never end, so the large task never started and the reservation never went away. Gangs did the same, those of one rack on runners of any rack, and the cap of a team was held for tasks that could have no room.

Change: room is reserved on runners that are expected to have it within 12 s, by the estimates of what runs there; gangs need the prospect for all members, in one rack if they ask for one. Tasks that end before the awaited room is complete may use the part that is free. Caps are held under the same condition.

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "cell.pb-c.h"
 #include "request/resources.h"
 
 /*
@@ -45,6 +46,7 @@
 struct run {
 	struct cell_job *job;
 	struct cell_runner *runner;
+	const Cell__Step *spec;
 	uint32_t task;	 /* number of the task in the job */
 	uint32_t number; /* of this start of the task, from 1 */
 	enum run_state state;
@@ -82,6 +84,8 @@
 	uint32_t alone;		   /* runs that keep others off */
 	bool kept_empty;	   /* for one, in the current placement pass */
 	struct resources reserved; /* for steps of higher rank, in the current placement pass */
+	struct resources awaited;  /* part of reserved, for which there is no room yet */
+	int64_t awaited_ms;	   /* time until the room for awaited is expected */
 	bool draining;
 	bool gone;		  /* no longer listed by the platform */
 	bool replaced;		  /* another runner answers at its address */
--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -120,6 +120,7 @@
 	g_autofree struct cell_runner **members = NULL;
 	bool crowded;
 	bool possible;
+	bool preempted;
 	bool reserved;
 
 	for (uint32_t i = 0; i < spec->count; i++)
@@ -132,22 +133,26 @@
 	}
 	pass->s->stats.gangs_waiting++;
 	pass->s->stats.waiting_tasks += spec->count;
-	/* It must not keep others waiting. */
+	/* A gang that can't start soon must not keep others waiting. */
 	if (!gang_placement_fits_pool(ps))
 		return;
 	crowded = is_crowded_out(ps);
-	add_waiting_gang(ps);
-	if (crowded && ps->step->advice && ps->step->advice->answered)
+	if (crowded && ps->step->advice && ps->step->advice->answered) {
+		add_waiting_gang(ps);
 		return;
+	}
 	possible = find_gang_rack(pass, ps, false, members);
+	preempted = !crowded && !possible && reserve_by_preemption(pass, ps, spec->count);
+	if (!possible && !preempted && !reserve_has_prospect(pass, ps, spec->count))
+		return;
+	add_waiting_gang(ps);
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
 	if (crowded)
 		return;
 	pending_step_hold_cap(pass, ps);
-	reserved = (!possible && reserve_by_preemption(pass, ps, spec->count)) ||
-		   (ps->advised && reserve_on_approved(ps, spec->count)) ||
-		   reserve_on_freest(ps, spec->count);
+	reserved = preempted || (ps->advised && reserve_on_approved(ps, spec->count)) ||
+		   reserve_on_freest(pass, ps, spec->count);
 	if (reserved && !possible && ps->advised)
 		advice_request_renew(pass, ps);
 }
--- a/packages/cell/process/headroom.c
+++ b/packages/cell/process/headroom.c
@@ -13,12 +13,12 @@
 	return job_slack_ms(j, wall_ms) >= HEADROOM_SLACK_MS ? HEADROOM_MILLI : 0;
 }
 
-bool headroom_fits(const struct cell_runner *rn, const struct resources *need, uint32_t milli)
+bool headroom_fits(const struct cell_runner *rn, const struct resources *free,
+		   const struct resources *need, uint32_t milli)
 {
-	struct resources free = cell_runner_free_capacity(rn);
 	struct resources want = *need;
 
 	/* Only CPU, which is what urgent work runs out of first. */
 	want.cpu_milli += rn->capacity.cpu_milli * milli / 1000;
-	return resources_fits(&want, &free);
+	return resources_fits(&want, free);
 }
--- a/packages/cell/process/headroom.h
+++ b/packages/cell/process/headroom.h
@@ -21,7 +21,8 @@
 /* headroom_milli - share of a runner, in 1/1000, that the step's tasks have to leave free now. */
 uint32_t headroom_milli(const struct cell_job *j, const struct job_step *step,
 			const struct queues *q, int64_t wall_ms);
-/* headroom_fits - true if the runner has room for `need` and for the headroom. */
-bool headroom_fits(const struct cell_runner *rn, const struct resources *need, uint32_t milli);
+/* headroom_fits - true if `free` of the runner has room for `need` and for the headroom. */
+bool headroom_fits(const struct cell_runner *rn, const struct resources *free,
+		   const struct resources *need, uint32_t milli);
 
 #endif
--- a/packages/cell/process/isolate.c
+++ b/packages/cell/process/isolate.c
@@ -39,9 +39,7 @@
 static bool has_lasting_run(const struct cell_runner *rn)
 {
 	for (guint i = 0; i < rn->runs->len; i++) {
-		const struct run *r = rn->runs->pdata[i];
-
-		if (cell_job_step_of(r->job, r->task)->spec->lasting)
+		if (((const struct run *)rn->runs->pdata[i])->spec->lasting)
 			return true;
 	}
 	return false;
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -39,8 +39,7 @@
 	if (!spec->filler && !spec->tail_target_ms)
 		return false;
 	for (guint i = 0; i < rn->runs->len; i++) {
-		const struct run *r = rn->runs->pdata[i];
-		const Cell__Step *other = cell_job_step_of(r->job, r->task)->spec;
+		const Cell__Step *other = ((const struct run *)rn->runs->pdata[i])->spec;
 
 		if (spec->filler ? other->tail_target_ms > 0 : other->filler)
 			return true;
@@ -58,7 +57,12 @@
 
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn)
 {
-	if (rn->alone || !headroom_fits(rn, &ps->need, ps->headroom_milli))
+	struct resources free = cell_runner_free_capacity(rn);
+
+	/* Work that ends before the room is complete doesn't delay those that wait for it. */
+	if (ps->backfill_ms <= rn->awaited_ms)
+		resources_add(&free, &rn->awaited);
+	if (rn->alone || !headroom_fits(rn, &free, &ps->need, ps->headroom_milli))
 		return false;
 	if (interferes(ps, rn))
 		return false;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -42,6 +42,7 @@
 	bool unrunnable; /* no runner of the pool could run a task if empty, whatever the advice */
 	uint32_t cap_left;	 /* tasks that the team's cap allows; of a gang all or none */
 	uint32_t headroom_milli; /* share of a runner, in 1/1000, to leave free */
+	int64_t backfill_ms;	 /* room that is reserved for longer may be used until then */
 };
 
 /* pending_step_suits - true if the runner has the capacity and the label, were it empty. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -13,6 +13,7 @@
 
 #define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
 #define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
+#define BACKFILL_ESTIMATES  2	/* estimates that a task may take in room that is reserved */
 #define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
@@ -70,6 +71,8 @@
 
 		pass->use_unknown |= has_runs_of_unknown_team(pass->s, rn);
 		rn->reserved = (struct resources){ 0 };
+		rn->awaited = (struct resources){ 0 };
+		rn->awaited_ms = 0;
 		rn->kept_empty = false;
 		if (!rn->service || !scheduler_can_use_runner(pass->s, rn))
 			continue;
@@ -96,7 +99,7 @@
 
 	while (made < waiting && reserve_by_preemption(pass, ps, 1))
 		made++;
-	if ((made == waiting || reserve_on_freest(ps, waiting - made)) && ps->advised)
+	if ((made == waiting || reserve_on_freest(pass, ps, waiting - made)) && ps->advised)
 		advice_request_renew(pass, ps);
 }
 
@@ -172,7 +175,10 @@
 	if (waiting && !ps->advised)
 		ps->pool->unplaced_in_row++;
 	count_held_back(pass, ps, held_back);
-	if (held_back && ps->candidates->len)
+	/* Room that no runner will have soon is no reason to keep the team's other tasks waiting.
+	 */
+	if ((held_back || (waiting && !possible && ps->large)) &&
+	    (!waiting || reserve_has_prospect(pass, ps, 1)))
 		pending_step_hold_cap(pass, ps);
 	if (!waiting)
 		return;
@@ -182,8 +188,6 @@
 		reserve_for_advice(ps, waiting);
 	else if (!possible && ps->large)
 		make_room(pass, ps, waiting);
-	if (!possible && ps->large && ps->candidates->len)
-		pending_step_hold_cap(pass, ps);
 }
 
 /* Whether a task needs more than 1 / LARGE_FRACTION of most of its candidates. */
@@ -277,7 +281,7 @@
 		ps->pool->unrunnable = ps->step->spec;
 }
 
-/* Whether the step could start if its team and its pool ran nothing else. */
+/* Whether the step could start soon if its team ran nothing else. */
 static bool could_run(const struct pass *pass, const struct pending_step *ps)
 {
 	const Cell__Step *spec = ps->step->spec;
@@ -285,9 +289,10 @@
 	struct team_limit limit;
 
 	if (!spec->gang)
-		return ps->candidates->len > 0;
-	return scheduler_team_limit(pass->s, ps->job, &limit) &&
-	       team_use_can_hold(&limit, &need, spec->count) && gang_placement_fits_pool(ps);
+		return reserve_has_prospect(pass, ps, 1);
+	return reserve_has_prospect(pass, ps, spec->count) &&
+	       scheduler_team_limit(pass->s, ps->job, &limit) &&
+	       team_use_can_hold(&limit, &need, spec->count);
 }
 
 /* A step that has to wait until its team uses less. */
@@ -310,11 +315,20 @@
 		pending_step_hold_cap(pass, ps);
 }
 
+/* The members of a gang use room on several runners until the last one has ended. */
+static int64_t backfill_ms(const Cell__Step *spec)
+{
+	if (spec->gang || spec->lasting || !spec->estimate_ms)
+		return INT64_MAX;
+	return (int64_t)spec->estimate_ms * BACKFILL_ESTIMATES;
+}
+
 static void place_on_candidates(struct pass *pass, struct pending_step *ps, place_fn fn)
 {
 	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
 
 	ps->candidates = candidates;
+	ps->backfill_ms = backfill_ms(ps->step->spec);
 	ps->headroom_milli = headroom_milli(ps->job, ps->step, pass->s->queues, pass->s->wall_ms);
 	collect_candidates(pass, ps);
 	ps->large = is_large(ps);
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -42,18 +42,152 @@
 	}
 }
 
-bool reserve_on_freest(const struct pending_step *ps, uint32_t waiting)
+/* Time until the run should end by the estimate of its step; INT64_MAX for a lasting task. */
+static int64_t run_left_ms(const struct run *r, int64_t now_ms)
+{
+	int64_t begun_ms = r->confirmed_ms ? r->confirmed_ms : r->planned_ms;
+
+	if (r->stopping)
+		return 0;
+	return r->spec->lasting ? INT64_MAX : begun_ms + r->spec->estimate_ms - now_ms;
+}
+
+/*
+ * Tasks of the step that the runner is expected to have room for within RESERVE_HORIZON_MS, were
+ * nothing reserved. A run that takes longer than estimated is expected to do so for as long again.
+ */
+static uint32_t expected_places(const struct pass *pass, const struct pending_step *ps,
+				const struct cell_runner *rn)
+{
+	struct resources free = rn->capacity;
+
+	resources_sub(&free, &rn->used);
+	for (guint i = 0; i < rn->runs->len; i++) {
+		const struct run *r = rn->runs->pdata[i];
+
+		if (ABS(run_left_ms(r, pass->s->now_ms)) <= RESERVE_HORIZON_MS)
+			resources_add(&free, &r->need);
+	}
+	return MIN(pending_step_places(ps, &free), pending_step_spread_left(ps, rn));
+}
+
+static struct resources free_after(const struct cell_runner *rn, int64_t after_ms, int64_t now_ms)
+{
+	struct resources free = cell_runner_free_capacity(rn);
+
+	for (guint i = 0; i < rn->runs->len; i++) {
+		const struct run *r = rn->runs->pdata[i];
+
+		if (run_left_ms(r, now_ms) <= after_ms)
+			resources_add(&free, &r->need);
+	}
+	return free;
+}
+
+/*
+ * Time until the runs that have to end for one task of the step should have ended, by their
+ * estimates.
+ */
+static int64_t room_wait_ms(const struct pass *pass, const struct pending_step *ps,
+			    const struct cell_runner *rn)
+{
+	int64_t wait_ms = RESERVE_HORIZON_MS;
+	struct resources now = cell_runner_free_capacity(rn);
+
+	if (resources_fits(&ps->need, &now))
+		return 0;
+	for (guint i = 0; i < rn->runs->len; i++) {
+		int64_t left_ms = MAX(run_left_ms(rn->runs->pdata[i], pass->s->now_ms), 0);
+		struct resources free;
+
+		if (left_ms >= wait_ms)
+			continue;
+		free = free_after(rn, left_ms, pass->s->now_ms);
+		if (resources_fits(&ps->need, &free))
+			wait_ms = left_ms;
+	}
+	return wait_ms;
+}
+
+/* Whether members of a gang may be on the runner beside those on runners of this rack. */
+static bool is_in_rack(const struct pending_step *ps, const struct cell_runner *rn,
+		       const char *rack)
+{
+	return !ps->step->spec->one_rack || !g_strcmp0(rn->rack, rack);
+}
+
+static uint32_t places_in_rack(const struct pass *pass, const struct pending_step *ps,
+			       const char *rack, uint32_t count)
+{
+	uint32_t places = 0;
+
+	for (guint i = 0; i < ps->candidates->len && places < count; i++) {
+		const struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (is_in_rack(ps, rn, rack))
+			places += expected_places(pass, ps, rn);
+	}
+	return places;
+}
+
+/* Stores the rack of the first runner from which on there is room for all tasks in *rack. */
+static bool find_prospect(const struct pass *pass, const struct pending_step *ps, uint32_t count,
+			  const char **rack)
+{
+	for (guint i = 0; i < ps->candidates->len; i++) {
+		*rack = ((const struct cell_runner *)ps->candidates->pdata[i])->rack;
+		if (places_in_rack(pass, ps, *rack, count) >= count)
+			return true;
+		if (!ps->step->spec->one_rack)
+			break;
+	}
+	return false;
+}
+
+bool reserve_has_prospect(const struct pass *pass, const struct pending_step *ps, uint32_t count)
+{
+	const char *rack;
+
+	return find_prospect(pass, ps, count, &rack);
+}
+
+/* Reserves room that is still occupied: shorter tasks may use the rest of it meanwhile. */
+static void reserve_awaited(const struct pass *pass, const struct pending_step *ps,
+			    struct cell_runner *rn)
+{
+	int64_t wait_ms = room_wait_ms(pass, ps, rn);
+	bool first = !rn->awaited.cpu_milli && !rn->awaited.mem_bytes && !rn->awaited.accel;
+
+	resources_add(&rn->reserved, &ps->need);
+	resources_add(&rn->awaited, &ps->need);
+	rn->awaited_ms = first ? wait_ms : MIN(rn->awaited_ms, wait_ms);
+}
+
+bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting)
 {
 	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+	const char *rack;
 
-	if (ps->pool->reserving_steps >= RESERVING_STEPS_MAX)
+	if (ps->pool->reserving_steps >= RESERVING_STEPS_MAX ||
+	    !find_prospect(pass, ps, pending_step_tasks_at_once(ps), &rack))
 		return false;
 	ps->pool->reserving_steps++;
-	for (guint i = 0; i < ps->candidates->len; i++)
-		g_ptr_array_add(candidates, ps->candidates->pdata[i]);
+	for (guint i = 0; i < ps->candidates->len; i++) {
+		struct cell_runner *rn = ps->candidates->pdata[i];
+
+		if (is_in_rack(ps, rn, rack) && expected_places(pass, ps, rn))
+			g_ptr_array_add(candidates, rn);
+	}
 	g_ptr_array_sort(candidates, pending_step_by_free);
 	for (guint i = 0; i < candidates->len && waiting; i++, waiting--)
-		resources_add(&((struct cell_runner *)candidates->pdata[i])->reserved, &ps->need);
+		reserve_awaited(pass, ps, candidates->pdata[i]);
+	/* Further members of a gang share these runners. */
+	for (guint i = 0; i < candidates->len && waiting && ps->step->spec->gang; i++) {
+		uint32_t more = expected_places(pass, ps, candidates->pdata[i]) - 1;
+
+		for (; more && waiting; more--, waiting--)
+			reserve_awaited(pass, ps, candidates->pdata[i]);
+	}
 	return true;
 }
 
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -3,6 +3,8 @@
 
 #include "pending_step.h"
 
+#define RESERVE_HORIZON_MS 12000 /* room that is expected later is not reserved yet */
+
 /*
  * reserve - reserves room on runners for the rest of a placement pass, against steps of lower rank.
  */
@@ -10,10 +12,17 @@
 /* reserve_for_advice - reserves room, tightest fit first, for tasks that wait only for advice. */
 void reserve_for_advice(const struct pending_step *ps, uint32_t waiting);
 /*
- * reserve_on_freest - reserves room on the freest runners. Returns false if RESERVING_STEPS_MAX
- * steps of the pool have already done so.
+ * reserve_on_freest - reserves room on the freest of the runners that are expected to have it
+ * within RESERVE_HORIZON_MS. Room that is occupied for longer, as by lasting tasks, would only be
+ * kept from other steps. Returns false if there is no such runner, or RESERVING_STEPS_MAX steps of
+ * the pool have reserved room already.
+ */
+bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting);
+/*
+ * reserve_has_prospect - whether runners are expected to have room for `count` tasks of the step at
+ * the same moment, within RESERVE_HORIZON_MS.
  */
-bool reserve_on_freest(const struct pending_step *ps, uint32_t waiting);
+bool reserve_has_prospect(const struct pass *pass, const struct pending_step *ps, uint32_t count);
 /*
  * reserve_on_approved - reserves the room that there is for tasks of an advised step, on approved
  * runners. A gang keeps it until it has enough: while it waits for further advice or for a task to
--- a/packages/cell/process/runs.c
+++ b/packages/cell/process/runs.c
@@ -36,8 +36,9 @@
 
 	r->job = j;
 	r->task = task;
+	r->spec = cell_job_step_of(j, task)->spec;
 	r->number = run_number;
-	r->need = scheduler_step_resources(cell_job_step_of(j, task)->spec);
+	r->need = scheduler_step_resources(r->spec);
 	r->planned_ms = s->now_ms;
 	return r;
 }
