cell: a gang with an advisor reserves room for all of its members

Cause: as soon as one approved runner had room for a member, that room was reserved and nothing else. Room for the other members was taken by small tasks each time that a part of it became free.

Change: the members for which no approved runner has room yet reserve on the freest runners, approved ones first, as those of other gangs do.

Evidence: "a gang with an advisor" of large_tasks_start_under_a_stream_of_ small_ones fails on the parent commit and passes now.

--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -121,7 +121,7 @@
 	bool crowded;
 	bool possible;
 	bool preempted;
-	bool reserved;
+	uint32_t kept = 0; /* members for which room is reserved */
 
 	for (uint32_t i = 0; i < spec->count; i++)
 		if (!pending_step_task_waits(pass, ps->job, ps->step->first_task + i))
@@ -151,8 +151,12 @@
 	if (crowded)
 		return;
 	pending_step_hold_cap(pass, ps);
-	reserved = preempted || (ps->advised && reserve_on_approved(ps, spec->count)) ||
-		   reserve_on_freest(pass, ps, spec->count);
-	if (reserved && !possible && ps->advised)
+	if (preempted)
+		kept = spec->count;
+	else if (ps->advised)
+		kept = reserve_on_approved(ps, spec->count);
+	if (kept < spec->count && reserve_on_freest(pass, ps, spec->count - kept))
+		kept = spec->count;
+	if (kept && !possible && ps->advised)
 		advice_request_renew(pass, ps);
 }
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -163,6 +163,16 @@
 	rn->awaited_ms = first ? wait_ms : MIN(rn->awaited_ms, wait_ms);
 }
 
+/* Runners that the advisor has approved come first: others may be denied. */
+static int by_approval(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct pending_step *ps = data;
+	bool x = pending_step_is_approved(ps, *(struct cell_runner *const *)a);
+	bool y = pending_step_is_approved(ps, *(struct cell_runner *const *)b);
+
+	return x != y ? y - x : pending_step_by_free(a, b);
+}
+
 bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting)
 {
 	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
@@ -178,7 +188,7 @@
 		if (is_in_rack(ps, rn, rack) && expected_places(pass, ps, rn))
 			g_ptr_array_add(candidates, rn);
 	}
-	g_ptr_array_sort(candidates, pending_step_by_free);
+	g_ptr_array_sort_with_data(candidates, by_approval, (gpointer)ps);
 	for (guint i = 0; i < candidates->len && waiting; i++, waiting--)
 		reserve_awaited(pass, ps, candidates->pdata[i]);
 	/* Further members of a gang share these runners. */
@@ -205,7 +215,7 @@
 	return out;
 }
 
-bool reserve_on_approved(const struct pending_step *ps, uint32_t count)
+uint32_t reserve_on_approved(const struct pending_step *ps, uint32_t count)
 {
 	uint32_t n = 0;
 
@@ -215,7 +225,7 @@
 		if (advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
 			n += pending_step_reserve(ps, rn, count - n);
 	}
-	return n > 0;
+	return n;
 }
 
 bool reserve_by_preemption(struct pass *pass, const struct pending_step *ps, uint32_t count)
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -26,9 +26,9 @@
 /*
  * reserve_on_approved - reserves the room that there is for tasks of an advised step, on approved
  * runners. A gang keeps it until it has enough: while it waits for further advice or for a task to
- * end, less urgent tasks would take each free part. Returns false if there is none.
+ * end, less urgent tasks would take each free part. Returns for how many tasks there is room.
  */
-bool reserve_on_approved(const struct pending_step *ps, uint32_t count);
+uint32_t reserve_on_approved(const struct pending_step *ps, uint32_t count);
 /*
  * reserve_by_preemption - stops runs of less urgent jobs to make room for `count` tasks, and
  * reserves it. For a late job it stops nothing, and reserves room that is free or being freed.
--- a/tests/cell/test_reserve.c
+++ b/tests/cell/test_reserve.c
@@ -38,6 +38,7 @@
 	{ "accelerators", RUNNERS, 1000, 6, 1 },
 	{ "a gang with accelerators", RUNNERS, 1000, 6, 1, .gang = true },
 	{ "an advisor", RUNNERS, 20000, 0, 1, .advised = true },
+	{ "a gang with an advisor", RUNNERS, 20000, 0, 1, .gang = true, .advised = true },
 	{ "a more urgent queue", RUNNERS, 20000, 0, 1, .queue = "urgent" },
 	{ "spread", RUNNERS, 20000, 0, 1, .spread_max = 1 },
 };
