cell: fillers and serving tasks share a runner if there is no other

Cause: interferes() refused a runner for one kind while a run of the other was on it, in both directions, and nothing ever made room.

Change: a runner without the other kind comes first; where there is none the two share one. The tail latency that the runner reports decides from then on: once a serving task has been over its target for 1 s beside fillers, these are stopped, and none start there for 10 s, doubling up to 80 s. Such a runner is polled every 0.5 s. A stop counts no attempt and keeps the last checkpoint. The fixture of the tests keeps the stored records, for a successor to read.

--- a/packages/cell/process/cell_runner.h
+++ b/packages/cell/process/cell_runner.h
@@ -55,12 +55,13 @@
 	char *ticket;		 /* NULL for none */
 	int64_t ticket_until_ms; /* the runner refuses the ticket after that */
 	int64_t planned_ms;
-	int64_t sent_ms;	  /* last start order */
-	int64_t confirmed_ms;	  /* first report by the runner */
-	int64_t idle_since_ms;	  /* since when no CPU use is reported; 0 while some is */
-	int64_t stop_sent_ms;	  /* last stop order, 0 for none */
-	int64_t stop_answered_ms; /* from then on the runner won't start it; 0 for none */
-	uint32_t start_orders;	  /* sent so far */
+	int64_t sent_ms;	      /* last start order */
+	int64_t confirmed_ms;	      /* first report by the runner */
+	int64_t idle_since_ms;	      /* since when no CPU use is reported; 0 while some is */
+	int64_t over_target_since_ms; /* of its tail latency, beside fillers; 0 if it isn't */
+	int64_t stop_sent_ms;	      /* last stop order, 0 for none */
+	int64_t stop_answered_ms;     /* from then on the runner won't start it; 0 for none */
+	uint32_t start_orders;	      /* sent so far */
 	bool inherited;	    /* started by an earlier scheduler, not yet listed by the runner */
 	bool stopping;	    /* a stop was requested, maybe not sent yet */
 	bool started_alone; /* on a runner without other runs */
@@ -110,6 +111,8 @@
 	uint64_t last_end;	       /* last seq processed */
 	uint32_t consecutive_failures; /* of runs, across jobs */
 	int64_t quarantined_until_ms;  /* no starts before that */
+	int64_t no_fillers_until_ms;   /* none start beside serving tasks with a target */
+	int64_t filler_pause_ms;       /* length of that pause; 0 if there was none */
 	int64_t unexpected_until_ms;   /* runs that the scheduler doesn't track may exist */
 	GPtrArray *runs;	       /* of struct run */
 };
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -1,5 +1,6 @@
 #include "pending_step.h"
 #include "headroom.h"
+#include "interference.h"
 
 static uint32_t tasks_on_runner(const struct cell_runner *rn, const struct pending_step *ps)
 {
@@ -28,25 +29,6 @@
 	return ps->advised && advice_verdict(ps->step->advice, rn->handle) == VERDICT_DENIED;
 }
 
-/*
- * Fillers slow down serving tasks that have a target for their tail latency, by an amount that
- * isn't known in advance. The two are kept on different runners.
- */
-static bool interferes(const struct pending_step *ps, const struct cell_runner *rn)
-{
-	const Cell__Step *spec = ps->step->spec;
-
-	if (!spec->filler && !spec->tail_target_ms)
-		return false;
-	for (guint i = 0; i < rn->runs->len; i++) {
-		const Cell__Step *other = ((const struct run *)rn->runs->pdata[i])->spec;
-
-		if (spec->filler ? other->tail_target_ms > 0 : other->filler)
-			return true;
-	}
-	return false;
-}
-
 uint32_t pending_step_spread_left(const struct pending_step *ps, const struct cell_runner *rn)
 {
 	uint32_t max = ps->step->spec->spread_max;
@@ -64,7 +46,7 @@
 		resources_add(&free, &rn->awaited);
 	if (rn->alone || !headroom_fits(rn, &free, &ps->need, ps->headroom_milli))
 		return false;
-	if (interferes(ps, rn))
+	if (interference_forbids(rn, ps->step->spec, ps->now_ms))
 		return false;
 	return pending_step_spread_left(ps, rn) > 0;
 }
@@ -97,6 +79,8 @@
 	struct resources free = cell_runner_free_capacity(rn);
 	int64_t score = 0;
 
+	if (interference_is_likely(rn, ps->step->spec))
+		score += 2000000;
 	if (*ps->step->spec->rack && g_strcmp0(rn->rack, ps->step->spec->rack) != 0)
 		score += 1000000;
 	score += (free.accel - ps->need.accel) * 10000;
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -36,6 +36,7 @@
 	struct cell_job *job;
 	struct job_step *step;
 	const struct queue *queue; /* NULL if no longer configured */
+	int64_t now_ms;
 	struct resources need;
 	bool advised;
 	bool large; /* a task needs much of a runner, so room for it seldom appears by itself */
@@ -60,7 +61,10 @@
  * for how many.
  */
 uint32_t pending_step_reserve(const struct pending_step *ps, struct cell_runner *rn, uint32_t max);
-/* pending_step_score - lower is better: the preferred rack first, then the tightest fit. */
+/*
+ * pending_step_score - lower is better: without interference first, then in the preferred rack,
+ * then the tightest fit.
+ */
 int64_t pending_step_score(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_is_approved - true if no advice is needed, or the advisor has approved the runner.
  */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -372,7 +372,7 @@
 static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step, place_fn fn)
 {
 	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
-	struct pending_step ps = { .job = j, .step = step, .queue = q };
+	struct pending_step ps = { .job = j, .step = step, .queue = q, .now_ms = pass->s->now_ms };
 
 	ps.pool = g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
 	if (!ps.pool)
--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -1,6 +1,7 @@
 #define G_LOG_DOMAIN "poll"
 
 #include "crash.h"
+#include "interference.h"
 #include "scheduler_priv.h"
 
 #define FAILURES_MAX	   2	 /* failures in a row that put a runner into quarantine */
@@ -263,6 +264,8 @@
 	cell_job_set_checkpoint(r->job, r->task, row->checkpoint);
 	if (is_hung(s, r, row->usage))
 		stop_hung(s, rn, r);
+	if (r->spec->tail_target_ms)
+		interference_note_tail(s, r, row->usage);
 }
 
 /* A run that is being stopped may be in neither list until it has ended. */
--- a/packages/cell/process/runners.c
+++ b/packages/cell/process/runners.c
@@ -1,6 +1,7 @@
 #define G_LOG_DOMAIN "runners"
 
 #include "crash.h"
+#include "interference.h"
 #include "lapse.h"
 #include "scheduler_priv.h"
 
@@ -228,7 +229,8 @@
  */
 static uint32_t poll_wait(const struct scheduler *s, const struct cell_runner *rn)
 {
-	int64_t until_ms = s->now_ms + POLL_WAIT_MS;
+	int64_t until_ms =
+		s->now_ms + (interference_is_shared(rn) ? INTERFERENCE_POLL_WAIT_MS : POLL_WAIT_MS);
 
 	for (guint i = 0; i < rn->runs->len; i++) {
 		const struct run *r = rn->runs->pdata[i];
--- a/packages/cell/process/scheduler.h
+++ b/packages/cell/process/scheduler.h
@@ -135,6 +135,7 @@
 	DECISION_LOST,		     /* a run is gone and its end is not known */
 	DECISION_GIVEN_UP,	     /* runners end under each run of the task: its job fails */
 	DECISION_PREEMPTED,	     /* a run is stopped for more urgent work */
+	DECISION_INTERFERES,	     /* a filler is stopped for a serving task beside it */
 	DECISION_CAP_LOWERED,	     /* a planned start would exceed its team's cap of now */
 	DECISION_END_IGNORED,	     /* a runner lists the end of a run that is not the live one */
 	DECISION_RUNNER_SILENT,	     /* a runner does not answer polls */
--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -38,14 +38,16 @@
 
 static void log_run(const struct decision *d)
 {
-	static const char *const names[] = { [DECISION_REFUSED] = "start refused",
-					     [DECISION_UNANSWERED] = "start not answered, stopped",
-					     [DECISION_FAILED] = "run failed",
-					     [DECISION_HUNG] = "run makes no progress, stopped",
-					     [DECISION_PREEMPTED] =
-						     "preempted for more urgent work",
-					     [DECISION_CAP_LOWERED] =
-						     "start withdrawn: over its team's cap" };
+	static const char *const names[] = {
+		[DECISION_REFUSED] = "start refused",
+		[DECISION_UNANSWERED] = "start not answered, stopped",
+		[DECISION_FAILED] = "run failed",
+		[DECISION_HUNG] = "run makes no progress, stopped",
+		[DECISION_PREEMPTED] = "preempted for more urgent work",
+		[DECISION_INTERFERES] = "stopped: a serving task beside it is "
+					"over its target",
+		[DECISION_CAP_LOWERED] = "start withdrawn: over its team's cap"
+	};
 	static const char *const ends[] = { [END_DONE] = "done",
 					    [END_FAILED] = "failed",
 					    [END_STOPPED] = "stopped",
@@ -129,6 +131,7 @@
 					     [DECISION_LEASE_LAPSING] = "lease_lapsing",
 					     [DECISION_LEASE_RESUMED] = "lease_resumed",
 					     [DECISION_PREEMPTED] = "run_preempted",
+					     [DECISION_INTERFERES] = "filler_stopped",
 					     [DECISION_CAP_LOWERED] = "start_over_cap",
 					     [DECISION_END_IGNORED] = "end_ignored" };
 
--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -142,6 +142,21 @@
 	g_strfreev(a->runner);
 }
 
+static void runner_free(gpointer data)
+{
+	struct fixture_runner *r = data;
+
+	g_free(r->id);
+	g_free(r->service);
+	g_free(r->rack);
+	g_free(r);
+}
+
+static void store(struct fixture *f, const char *key, const uint8_t *value, size_t size)
+{
+	g_hash_table_replace(f->log, g_strdup(key), g_bytes_new(value, size));
+}
+
 struct fixture *fixture_create(void)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
@@ -152,6 +167,9 @@
 	f->wall_ms = 1760000000000;
 	f->jobs = job_table_create();
 	f->queues = queues_create(1);
+	f->log = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				       (GDestroyNotify)g_bytes_unref);
+	f->runners = g_ptr_array_new_with_free_func(runner_free);
 	f->start = g_array_new(FALSE, FALSE, sizeof(struct fixture_start));
 	f->stop = g_array_new(FALSE, FALSE, sizeof(struct fixture_stop));
 	f->poll = g_array_new(FALSE, FALSE, sizeof(struct fixture_poll));
@@ -169,6 +187,8 @@
 	scheduler_destroy(f->sched);
 	job_table_destroy(f->jobs);
 	queues_destroy(f->queues);
+	g_hash_table_unref(f->log);
+	g_ptr_array_unref(f->runners);
 	if (f->records)
 		g_ptr_array_unref(f->records);
 	g_array_unref(f->start);
@@ -213,7 +233,7 @@
 	scheduler_set_advisor_clients(f->sched, 8);
 }
 
-void fixture_add_runner(struct fixture *f, const char *id, const char *service, const char *rack,
+static void list_runner(struct fixture *f, const char *id, const char *service, const char *rack,
 			int64_t cpu_milli, int64_t accel)
 {
 	struct runner_info info = { .id = id,
@@ -230,6 +250,63 @@
 	scheduler_update_runner(f->sched, &info, f->now_ms);
 }
 
+void fixture_add_runner(struct fixture *f, const char *id, const char *service, const char *rack,
+			int64_t cpu_milli, int64_t accel)
+{
+	struct fixture_runner *r = g_new0(struct fixture_runner, 1);
+
+	r->id = g_strdup(id);
+	r->service = g_strdup(service);
+	r->rack = g_strdup(rack);
+	r->cpu_milli = cpu_milli;
+	r->accel = accel;
+	g_ptr_array_add(f->runners, r);
+	list_runner(f, id, service, rack, cpu_milli, accel);
+}
+
+/* A job's own record comes before its progress. */
+static int by_length(gconstpointer a, gconstpointer b)
+{
+	return (int)strlen(a) - (int)strlen(b);
+}
+
+static void read_log(struct fixture *f)
+{
+	g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(f->log), by_length);
+
+	for (GList *i = keys; i; i = i->next) {
+		gsize size;
+		const uint8_t *value =
+			g_bytes_get_data(g_hash_table_lookup(f->log, i->data), &size);
+
+		job_table_apply(f->jobs, i->data, value, size);
+	}
+}
+
+void fixture_replace_scheduler(struct fixture *f, bool lose_all)
+{
+	scheduler_destroy(f->sched);
+	f->sched = NULL;
+	f->batch = 0;
+	g_clear_pointer(&f->records, g_ptr_array_unref);
+	g_array_set_size(f->start, 0);
+	g_array_set_size(f->poll, 0);
+	g_array_set_size(f->stop, 0);
+	g_array_set_size(f->advice, 0);
+	if (lose_all) {
+		job_table_destroy(f->jobs);
+		f->jobs = job_table_create();
+		job_table_watch(f->jobs, &job_table_ops, f);
+	}
+	read_log(f);
+	fixture_start_scheduler(f);
+	for (guint i = 0; i < f->runners->len; i++) {
+		const struct fixture_runner *r = f->runners->pdata[i];
+
+		list_runner(f, r->id, r->service, r->rack, r->cpu_milli, r->accel);
+	}
+}
+
 Cell__Step *fixture_add_step(Cell__Job *job, uint32_t count, uint32_t cpu_milli)
 {
 	Cell__Step *s = g_new(Cell__Step, 1);
@@ -281,6 +358,7 @@
 	size_t size;
 	g_autofree uint8_t *buf = pack(f, job, &size);
 
+	store(f, job->id, buf, size);
 	job_table_apply(f->jobs, job->id, buf, size);
 	cell__job__free_unpacked(job, NULL);
 }
@@ -316,6 +394,12 @@
 	if (!batch)
 		return 0;
 	n = f->records->len;
+	for (guint i = 0; i < n; i++) {
+		const struct log_record *r = f->records->pdata[i];
+
+		if (r->value)
+			store(f, r->key, r->value, r->size);
+	}
 	f->batch = 0;
 	g_clear_pointer(&f->records, g_ptr_array_unref);
 	scheduler_written(f->sched, batch, f->now_ms);
--- a/tests/cell/fixture.h
+++ b/tests/cell/fixture.h
@@ -34,6 +34,14 @@
 	uint32_t fence_seq;
 };
 
+struct fixture_runner {
+	char *id;
+	char *service;
+	char *rack;
+	int64_t cpu_milli;
+	int64_t accel;
+};
+
 struct fixture_advice {
 	char *step;
 	char **runner;
@@ -62,6 +70,8 @@
 	uint32_t starts; /* start orders so far */
 	uint32_t advice_requests;
 	uint32_t expired;    /* jobs that may be deleted */
+	GHashTable *log;     /* of GBytes by key: the newest stored record of each */
+	GPtrArray *runners;  /* of struct fixture_runner that were added */
 	GPtrArray *withdraw; /* ids of tentative jobs that are dropped when a job expires; NULL for
 				none */
 };
@@ -118,6 +128,12 @@
 /* fixture_start_at - returns the i-th start without an answer. */
 struct fixture_start *fixture_start_at(struct fixture *f, guint i);
 
+/*
+ * fixture_replace_scheduler - the scheduler is lost with all orders, answers and writes that are in
+ * flight; its successor reads the stored records and lists the same runners. lose_all: so is the
+ * job table, as if all processes were killed.
+ */
+void fixture_replace_scheduler(struct fixture *f, bool lose_all);
 /* fixture_restart_r0 - lists r0 with a new incarnation, which answers polls from then on. */
 void fixture_restart_r0(struct fixture *f);
 
