cell: steps without room skip only steps that demand no less

Cause: after 48 steps in a row without room a pass skipped all other steps of the pool. Steps that wait for a label, accelerators, memory or most of a runner say nothing of the room for others.

Change: a pass keeps the smallest demands for which no runner of the pool has room. After the 48th step it skips those that demand no less, as room only shrinks during a pass, and examines the others. Gangs without prospect count too. For steps with an advisor, whose candidates differ, 48 further ones are examined. Room is reserved on approved runners without a sort by approval.

--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -2,6 +2,7 @@
 #include "gang_placement.h"
 #include "reserve.h"
 #include "step_room.h"
+#include "unplaced.h"
 
 #define GANGS_WAITING_MILLI 500 /* share of a pool that waiting gangs may claim, in 1/1000 */
 #define GANGS_WAITING_MIN   2	/* that may wait, whatever they need */
@@ -143,8 +144,10 @@
 	}
 	possible = find_gang_rack(pass, ps, false, members);
 	preempted = !crowded && !possible && reserve_by_preemption(pass, ps, spec->count);
-	if (!possible && !preempted && !reserve_has_prospect(pass, ps, spec->count))
+	if (!possible && !preempted && !reserve_has_prospect(pass, ps, spec->count)) {
+		unplaced_note(pass, ps);
 		return;
+	}
 	add_waiting_gang(ps);
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -37,18 +37,25 @@
 	return max ? max - MIN(max, used) : UINT32_MAX;
 }
 
-bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn)
+static inline bool has_room(const struct pending_step *ps, const struct cell_runner *rn)
 {
 	struct resources free = cell_runner_free_capacity(rn);
 
 	/* Work that ends before the room is complete doesn't delay those that wait for it. */
 	if (ps->backfill_ms <= rn->awaited_ms)
 		resources_add(&free, &rn->awaited);
-	if (rn->alone || !headroom_fits(rn, &free, &ps->need, ps->headroom_milli))
-		return false;
-	if (interference_forbids(rn, ps->step->spec, ps->now_ms))
-		return false;
-	return pending_step_spread_left(ps, rn) > 0;
+	return !rn->alone && headroom_fits(rn, &free, &ps->need, ps->headroom_milli) &&
+	       !interference_forbids(rn, ps->step->spec, ps->now_ms);
+}
+
+bool pending_step_has_room(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	return has_room(ps, rn);
+}
+
+bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn)
+{
+	return has_room(ps, rn) && pending_step_spread_left(ps, rn) > 0;
 }
 
 uint32_t pending_step_places(const struct pending_step *ps, const struct resources *room)
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -1,6 +1,7 @@
 #ifndef CELL_PENDING_STEP_H
 #define CELL_PENDING_STEP_H
 
+#include "no_room.h"
 #include "scheduler_priv.h"
 
 /*
@@ -15,10 +16,13 @@
 	struct resources used;	   /* on all runners */
 	struct resources gangs;	   /* need of the gangs that wait, of those visited so far */
 	uint32_t waiting_gangs;
-	uint32_t reserving_steps;     /* steps that have reserved room */
-	uint32_t preempt_searches;    /* for room that preemption could make */
-	uint32_t preempting_steps;    /* steps for which runs were stopped */
-	uint32_t unplaced_in_row;     /* steps in a row without room */
+	uint32_t reserving_steps;  /* steps that have reserved room */
+	uint32_t preempt_searches; /* for room that preemption could make */
+	uint32_t preempting_steps; /* steps for which runs were stopped */
+	uint32_t unplaced_in_row;  /* steps in a row without room */
+	bool crowded;		   /* so many that steps known to have no room are skipped */
+	uint32_t unplaced_advised; /* steps with an advisor without room since then */
+	struct no_room *no_room;
 	const Cell__Step *unrunnable; /* last step that no runner could run; NULL for none */
 	uint32_t kept_empty;	      /* runners, for tasks that have to run alone */
 };
@@ -50,6 +54,8 @@
 bool pending_step_suits(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_is_denied - true if the advisor has denied the runner. */
 bool pending_step_is_denied(const struct pending_step *ps, const struct cell_runner *rn);
+/* pending_step_has_room - true if the runner has room for one task, whatever its spread. */
+bool pending_step_has_room(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_fits - true if the runner has room for one more task of the step now. */
 bool pending_step_fits(const struct pending_step *ps, const struct cell_runner *rn);
 /* pending_step_spread_left - tasks that the runner may still get by the step's spread. */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -10,11 +10,10 @@
 #include "reserve.h"
 #include "headroom.h"
 #include "step_room.h"
+#include "unplaced.h"
 
-#define STARTUP_WAIT_MS	    100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
-#define UNPLACED_IN_ROW_MAX 48	/* steps without room, after which few others would find any */
-#define BACKFILL_ESTIMATES  2	/* estimates that a task may take in room that is reserved */
-#define LARGE_FRACTION	    3	/* a large task needs more than this fraction (1/n) of a runner */
+#define STARTUP_WAIT_MS 100 /* for a new scheduler's first polls: 24 ms round trip, slow VMs */
+#define LARGE_FRACTION	3   /* a large task needs more than this fraction (1/n) of a runner */
 
 static int by_rank(gconstpointer a, gconstpointer b)
 {
@@ -48,6 +47,7 @@
 	struct pass_pool *pool = data;
 
 	g_ptr_array_unref(pool->runners);
+	no_room_destroy(pool->no_room);
 	g_free(pool);
 }
 
@@ -81,6 +81,7 @@
 			pool = g_new0(struct pass_pool, 1);
 			pool->service = rn->service;
 			pool->runners = g_ptr_array_new();
+			pool->no_room = no_room_create();
 			g_hash_table_insert(pass->pool, rn->service, pool);
 		}
 		g_ptr_array_add(pool->runners, rn);
@@ -172,8 +173,8 @@
 	}
 	step_room_destroy(room);
 	pass->s->stats.waiting_tasks += waiting;
-	if (waiting && !ps->advised)
-		ps->pool->unplaced_in_row++;
+	if (waiting && !possible)
+		unplaced_note(pass, ps);
 	count_held_back(pass, ps, held_back);
 	/* Room that no runner will have soon is no reason to keep the team's other tasks waiting.
 	 */
@@ -315,20 +316,11 @@
 		pending_step_hold_cap(pass, ps);
 }
 
-/* The members of a gang use room on several runners until the last one has ended. */
-static int64_t backfill_ms(const Cell__Step *spec)
-{
-	if (spec->gang || spec->lasting || !spec->estimate_ms)
-		return INT64_MAX;
-	return (int64_t)spec->estimate_ms * BACKFILL_ESTIMATES;
-}
-
 static void place_on_candidates(struct pass *pass, struct pending_step *ps, place_fn fn)
 {
 	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
 
 	ps->candidates = candidates;
-	ps->backfill_ms = backfill_ms(ps->step->spec);
 	ps->headroom_milli = headroom_milli(ps->job, ps->step, pass->s->queues, pass->s->wall_ms);
 	collect_candidates(pass, ps);
 	ps->large = is_large(ps);
@@ -354,10 +346,9 @@
 static bool is_skipped(const struct pass *pass, const struct pending_step *ps)
 {
 	const struct advice *a = ps->step->advice;
-	bool crowded = ps->pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX;
 
 	/* A step that has got advice out of its turn has room. */
-	if (crowded && !(a && a->request.overdue)) {
+	if (!(a && a->request.overdue) && unplaced_is_known(pass, ps)) {
 		if (ps->advised)
 			advice_request_defer(pass->s, ps);
 		return true;
@@ -372,7 +363,11 @@
 static void place_step(struct pass *pass, struct cell_job *j, struct job_step *step, place_fn fn)
 {
 	const struct queue *q = queues_find(pass->s->queues, j->spec->queue);
-	struct pending_step ps = { .job = j, .step = step, .queue = q, .now_ms = pass->s->now_ms };
+	struct pending_step ps = { .job = j,
+				   .step = step,
+				   .queue = q,
+				   .now_ms = pass->s->now_ms,
+				   .backfill_ms = reserve_backfill_ms(step->spec) };
 
 	ps.pool = g_hash_table_lookup(pass->pool, q ? q->service : j->spec->service);
 	if (!ps.pool)
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -3,6 +3,7 @@
 #include "reserve.h"
 
 #define RESERVING_STEPS_MAX  2	/* steps of a pool that reserve room while they wait */
+#define BACKFILL_ESTIMATES   2	/* times its estimate that a task may take */
 #define PREEMPTING_STEPS_MAX 6	/* steps of a pool for which runs are stopped in one pass */
 #define PREEMPT_SEARCHES_MAX 12 /* per pool and pass; each search visits all runs of the pool */
 
@@ -19,6 +20,14 @@
 	return x->score < y->score ? -1 : x->score > y->score;
 }
 
+int64_t reserve_backfill_ms(const Cell__Step *spec)
+{
+	/* The members of a gang use room on several runners until the last one has ended. */
+	if (spec->gang || spec->lasting || !spec->estimate_ms)
+		return INT64_MAX;
+	return (int64_t)spec->estimate_ms * BACKFILL_ESTIMATES;
+}
+
 void reserve_for_advice(const struct pending_step *ps, uint32_t waiting)
 {
 	g_autoptr(GArray) fits = g_array_new(FALSE, FALSE, sizeof(struct fit));
@@ -163,19 +172,40 @@
 	rn->awaited_ms = first ? wait_ms : MIN(rn->awaited_ms, wait_ms);
 }
 
-/* Runners that the advisor has approved come first: others may be denied. */
-static int by_approval(gconstpointer a, gconstpointer b, gpointer data)
+/* Reserves room for one more task on each of the runners in turn, the freest first. */
+static uint32_t reserve_one_each(const struct pass *pass, const struct pending_step *ps,
+				 const GPtrArray *runners, uint32_t waiting)
 {
-	const struct pending_step *ps = data;
-	bool x = pending_step_is_approved(ps, *(struct cell_runner *const *)a);
-	bool y = pending_step_is_approved(ps, *(struct cell_runner *const *)b);
+	uint32_t n = 0;
 
-	return x != y ? y - x : pending_step_by_free(a, b);
+	for (guint i = 0; i < runners->len && n < waiting; i++) {
+		if (!expected_places(pass, ps, runners->pdata[i]))
+			continue;
+		reserve_awaited(pass, ps, runners->pdata[i]);
+		n++;
+	}
+	return n;
+}
+
+/* Reserves room for further members of a gang on runners that have room for one. */
+static uint32_t reserve_more(const struct pass *pass, const struct pending_step *ps,
+			     const GPtrArray *runners, uint32_t waiting)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < runners->len && n < waiting; i++) {
+		uint32_t places = expected_places(pass, ps, runners->pdata[i]);
+
+		for (uint32_t k = 1; k < places && n < waiting; k++, n++)
+			reserve_awaited(pass, ps, runners->pdata[i]);
+	}
+	return n;
 }
 
 bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting)
 {
-	g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+	g_autoptr(GPtrArray) approved = g_ptr_array_new();
+	g_autoptr(GPtrArray) others = g_ptr_array_new();
 	const char *rack;
 
 	if (ps->pool->reserving_steps >= RESERVING_STEPS_MAX ||
@@ -185,19 +215,18 @@
 	for (guint i = 0; i < ps->candidates->len; i++) {
 		struct cell_runner *rn = ps->candidates->pdata[i];
 
-		if (is_in_rack(ps, rn, rack) && expected_places(pass, ps, rn))
-			g_ptr_array_add(candidates, rn);
-	}
-	g_ptr_array_sort_with_data(candidates, by_approval, (gpointer)ps);
-	for (guint i = 0; i < candidates->len && waiting; i++, waiting--)
-		reserve_awaited(pass, ps, candidates->pdata[i]);
-	/* Further members of a gang share these runners. */
-	for (guint i = 0; i < candidates->len && waiting && ps->step->spec->gang; i++) {
-		uint32_t more = expected_places(pass, ps, candidates->pdata[i]) - 1;
-
-		for (; more && waiting; more--, waiting--)
-			reserve_awaited(pass, ps, candidates->pdata[i]);
+		if (is_in_rack(ps, rn, rack))
+			g_ptr_array_add(pending_step_is_approved(ps, rn) ? approved : others, rn);
 	}
+	g_ptr_array_sort(approved, pending_step_by_free);
+	g_ptr_array_sort(others, pending_step_by_free);
+	/* The advisor may deny the others. */
+	waiting -= reserve_one_each(pass, ps, approved, waiting);
+	waiting -= reserve_one_each(pass, ps, others, waiting);
+	if (!ps->step->spec->gang)
+		return true;
+	waiting -= reserve_more(pass, ps, approved, waiting);
+	reserve_more(pass, ps, others, waiting);
 	return true;
 }
 
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -9,6 +9,11 @@
  * reserve - reserves room on runners for the rest of a placement pass, against steps of lower rank.
  */
 
+/*
+ * reserve_backfill_ms - for how long a task of the step may use room that is reserved for another
+ * one, but not complete yet. INT64_MAX if it must not use it.
+ */
+int64_t reserve_backfill_ms(const Cell__Step *spec);
 /* reserve_for_advice - reserves room, tightest fit first, for tasks that wait only for advice. */
 void reserve_for_advice(const struct pending_step *ps, uint32_t waiting);
 /*
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -8,10 +8,10 @@
 /*
  * Internals of the scheduler, by file: scheduler.c jobs; runners.c incarnations, leases and polls
  * of runners; poll.c replies to polls; runs.c start and stop orders; placement.c,
- * gang_placement.c, pending_step.c, fair_order.c, advice_request.c, reserve.c, interference.c and
- * isolate.c placement of tasks; admit.c admission of jobs; lapse.c leases that are not renewed;
- * crash.c tasks that crash their runners; progress.c and progress_record.c the log; stats.c
- * counters.
+ * gang_placement.c, pending_step.c, fair_order.c, advice_request.c, reserve.c, unplaced.c,
+ * interference.c and isolate.c placement of tasks; admit.c admission of jobs; lapse.c leases that
+ * are not renewed; crash.c tasks that crash their runners; progress.c and progress_record.c the
+ * log; stats.c counters.
  */
 
 #define ORDER_MARGIN_MS 250  /* a ticket must outlast the write of the intent and the start */
--- a/tests/cell/test_placement.c
+++ b/tests/cell/test_placement.c
@@ -394,3 +394,138 @@
 		fixture_destroy(f);
 	}
 }
+
+struct stuck_case {
+	const char *what;
+	uint32_t cpu_milli;
+	uint32_t mem_mib;
+	uint32_t accel;
+	const char *label;
+	const char *service_queue;
+	bool lasting;
+	bool gang;
+	bool filler;
+	uint32_t spread_max;
+	uint32_t step_milli;  /* each job's tasks need so much more than those of the one before */
+	uint32_t small_milli; /* of the small jobs */
+};
+
+/* The runners with label b have no accelerator, core or memory left; the others are empty. */
+static const struct stuck_case stuck_cases[] = {
+	{ "a label", 100, 1, 0, "b", "first" },
+	{ "a label, lasting", 100, 1, 0, "b", "first", .lasting = true },
+	{ "a label, gangs", 100, 1, 0, "b", "first", .gang = true },
+	{ "a label, spread", 100, 1, 0, "b", "first", .spread_max = 1 },
+	{ "a label, fillers that need memory", 100, 1, 0, "b", "first", .filler = true },
+	{ "memory", 10, 900, 0, "b", "first" },
+	{ "accelerators", 10, 1, 4, "", "first" },
+	{ "size", 700, 1, 0, "", "first", .small_milli = 50 },
+	{ "sizes that grow", 700, 1, 0, "", "first", .step_milli = 1, .small_milli = 50 },
+	{ "a less urgent queue", 100, 1, 0, "b", "last" },
+	{ "an advisor that denies all", 100, 1, 0, "b", "advised" },
+};
+
+enum { STUCK_RUNNERS = 12, STUCK_FULL = 2, STUCK_SMALL = 5 };
+
+static struct fixture *stuck_fixture(const struct stuck_case *c)
+{
+	struct fixture *f = fixture_create();
+	Cell__Job *full;
+
+	fixture_add_queue(f, "first", "desk", 0, 3, 0);
+	fixture_add_queue(f, "advised", "desk", 0, 3, 17);
+	fixture_add_queue(f, "last", "desk", 2, 3, 0);
+	fixture_add_queue(f, "small", "desk", 1, 3, 0);
+	fixture_start_scheduler(f);
+	for (uint32_t k = 0; k < STUCK_RUNNERS; k++) {
+		g_autofree char *id = g_strdup_printf("r%u", k);
+		bool b = k < STUCK_FULL;
+
+		fixture_add_runner(f, id, "desk", b ? "b" : "rack0", 1000, b ? 4 : 0);
+	}
+	fixture_poll_all(f);
+	full = fixture_new_job(ID_A, "first", STUCK_FULL, 1000);
+	full->step[0]->mem_bytes = INT64_C(1024) << 20;
+	full->step[0]->accel = 4;
+	full->step[0]->lasting = true;
+	fixture_submit_and_start(f, full);
+	/* Where size is the trouble, half of each other runner is in use. */
+	if (c->small_milli) {
+		Cell__Job *half = fixture_new_job("00000000000000a2", "first",
+						  STUCK_RUNNERS - STUCK_FULL, 400);
+
+		half->step[0]->lasting = true;
+		half->step[0]->spread_max = 1;
+		fixture_submit_and_start(f, half);
+	}
+	return f;
+}
+
+static void submit_stuck(struct fixture *f, const struct stuck_case *c, uint32_t jobs)
+{
+	for (uint32_t k = 0; k < jobs; k++) {
+		g_autofree char *id = g_strdup_printf("%016x", 0xa000 + k);
+		Cell__Job *job = fixture_new_job(id, c->service_queue, 2,
+						 c->cpu_milli + MIN(k, 200) * c->step_milli);
+		Cell__Step *s = job->step[0];
+
+		s->mem_bytes = (uint64_t)c->mem_mib << 20;
+		s->accel = c->accel;
+		s->lasting = c->lasting;
+		s->gang = c->gang;
+		s->filler = c->filler;
+		s->spread_max = c->spread_max;
+		g_free(s->label);
+		s->label = g_strdup(c->label);
+		fixture_submit(f, job);
+	}
+	fixture_advance(f, 1);
+	while (fixture_advise(f, "none", 60000))
+		fixture_advance(f, 1);
+}
+
+/* Submits small jobs behind many that are stuck. Returns the cost of a pass afterwards. */
+static uint64_t play_stuck(const struct stuck_case *c, uint32_t jobs)
+{
+	struct fixture *f = stuck_fixture(c);
+	struct scheduler_stats before;
+	struct scheduler_stats after;
+	uint32_t starts;
+
+	submit_stuck(f, c, jobs);
+	starts = f->starts;
+	for (uint32_t k = 0; k < STUCK_SMALL; k++) {
+		g_autofree char *id = g_strdup_printf("%016x", 0xf000 + k);
+
+		fixture_submit(
+			f, fixture_new_job(id, "small", 1, c->small_milli ? c->small_milli : 500));
+	}
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	cr_expect_eq(f->starts - starts, STUCK_SMALL, "%s, %u jobs: %u small ones started", c->what,
+		     jobs, f->starts - starts);
+	scheduler_stats(f->sched, &before);
+	fixture_advance(f, 1);
+	scheduler_stats(f->sched, &after);
+	fixture_destroy(f);
+	return after.examined - before.examined;
+}
+
+/*
+ * Guards against jobs that wait for ever beside idle runners: after 48 steps in a row without room
+ * the pass ended, though they waited for a label, accelerators or more room than others need. The
+ * other side: the cost of a pass doesn't grow with the number of such steps.
+ */
+Test(placement, small_jobs_start_behind_many_steps_without_room)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(stuck_cases); i++) {
+		const struct stuck_case *c = &stuck_cases[i];
+		uint64_t few = play_stuck(c, 150);
+		uint64_t many = play_stuck(c, 1500);
+
+		cr_expect_leq(many, few + few / 10,
+			      "%s: %lu runners examined behind 150 jobs, %lu "
+			      "behind 1500",
+			      c->what, (unsigned long)few, (unsigned long)many);
+	}
+}
