cell: an advisor that doesn't answer keeps no room from others

What callers see: while the advisor of one queue doesn't answer, jobs of other queues of the service, which need no advice, don't start beside free runners.

Cause: room is kept for tasks whose request is in flight. A request without an answer ends after 3 s and the next one follows, so the room was kept for ever; that of gangs and large tasks too, and the cap of their team.

Change: nothing is kept for a step whose first request without an answer is older than 1.5 s.

Evidence: an_advisor_that_does_not_answer_keeps_no_room fails on the parent commit (0 of 5 small jobs within 3 s, behind tasks, large tasks and gangs). Now all start, and while answers take 400 ms the room is still kept.

--- a/packages/cell/process/advice.h
+++ b/packages/cell/process/advice.h
@@ -21,9 +21,10 @@
 
 struct advice {
 	struct advice_entries *entries;
-	bool in_flight;	  /* a request is in flight */
-	bool answered;	  /* a request was answered */
-	int64_t retry_ms; /* earliest next request */
+	bool in_flight;		     /* a request is in flight */
+	bool answered;		     /* a request was answered */
+	int64_t retry_ms;	     /* earliest next request */
+	int64_t unanswered_since_ms; /* first request since the last answer; 0 for none */
 	/* Since when it is due and the advisor too busy to be asked; 0 if it doesn't wait. */
 	int64_t waiting_since_ms;
 	struct advisor_request request; /* the last one */
--- a/packages/cell/process/advice_request.c
+++ b/packages/cell/process/advice_request.c
@@ -3,6 +3,7 @@
 #define REQUEST_RUNNERS_MAX	100 /* runners in one request, the platform's limit */
 #define GANG_NAMED_PER_APPROVED 3   /* advisors approve a third of the runners or more */
 #define REQUEST_RUNNERS_MIN	8 /* even if they cost more than half of the request's base cost */
+#define ADVICE_RESERVE_MS	1500 /* room is kept that long for a step without an answer */
 #define TICKET_RENEW_MS		600 /* before a ticket expires; a request takes 400 ms plus transit */
 
 /* Adds up to max runners with this verdict, the freest first; room: only those with room. */
@@ -64,6 +65,8 @@
 	cell_job_step_name(ps->job, ps->step, step);
 	ps->pool->unplaced_in_row = 0;
 	a->in_flight = true;
+	if (!a->unanswered_since_ms)
+		a->unanswered_since_ms = s->now_ms;
 	a->request = *r;
 	a->waiting_since_ms = 0;
 	advisor_share_begin(s->advisor, r);
@@ -142,6 +145,14 @@
 		defer(s, a);
 }
 
+bool advice_request_is_unanswered(const struct pass *pass, const struct pending_step *ps)
+{
+	const struct advice *a = ps->step->advice;
+
+	return ps->advised && a && a->unanswered_since_ms &&
+	       pass->s->now_ms - a->unanswered_since_ms > ADVICE_RESERVE_MS;
+}
+
 /* Whether the step needs verdicts or tickets that it doesn't wait for already. */
 static bool is_due(struct pass *pass, const struct pending_step *ps, bool possible, bool more)
 {
--- a/packages/cell/process/advice_request.h
+++ b/packages/cell/process/advice_request.h
@@ -14,6 +14,11 @@
  * be asked: nothing can be done for it now.
  */
 bool advice_request_is_blocked(const struct scheduler *s, const struct pending_step *ps);
+/*
+ * advice_request_is_unanswered - true if the advisor answers no requests for the step, so that no
+ * room should be kept for it.
+ */
+bool advice_request_is_unanswered(const struct pass *pass, const struct pending_step *ps);
 /* advice_request_defer - notes that the step waits for a chance to ask. */
 void advice_request_defer(struct scheduler *s, const struct pending_step *ps);
 /* advice_request_is_overdue - true if the step has waited too long for one. */
--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -151,7 +151,7 @@
 	add_waiting_gang(ps);
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
-	if (crowded)
+	if (crowded || advice_request_is_unanswered(pass, ps))
 		return;
 	pending_step_hold_cap(pass, ps);
 	if (preempted)
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -143,6 +143,7 @@
 	uint32_t left = ps->cap_left;
 	uint32_t waiting = 0;
 	uint32_t held_back = 0;
+	bool unanswered = advice_request_is_unanswered(pass, ps);
 	bool possible = false;
 	bool first = true; /* one check of `possible` holds for all tasks that avoid no runner */
 
@@ -176,15 +177,16 @@
 	if (waiting && !possible)
 		unplaced_note(pass, ps);
 	count_held_back(pass, ps, held_back);
-	/* Room that no runner will have soon is no reason to keep the team's other tasks waiting.
-	 */
+	/* A task that can't start soon is no reason to keep the team's other tasks waiting. */
 	if ((held_back || (waiting && !possible && ps->large)) &&
-	    (!waiting || reserve_has_prospect(pass, ps, 1)))
+	    (!waiting || (!unanswered && reserve_has_prospect(pass, ps, 1))))
 		pending_step_hold_cap(pass, ps);
 	if (!waiting)
 		return;
 	if (ps->advised)
 		advice_request_send(pass, ps, possible);
+	if (unanswered)
+		return;
 	if (ps->advised && ps->step->advice->in_flight)
 		reserve_for_advice(ps, waiting);
 	else if (!possible && ps->large)
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -382,6 +382,7 @@
 		return;
 	}
 	requested->advice->answered = true;
+	requested->advice->unanswered_since_ms = 0;
 	for (size_t i = 0; i < n_asked; i++) {
 		const struct cell_runner *rn = g_hash_table_lookup(s->runners, asked[i]);
 		const char *got = NULL;
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -530,3 +530,84 @@
 				      (long)waited_ms);
 	}
 }
+
+struct mute_case {
+	const char *what;
+	uint32_t tasks;
+	uint32_t cpu_milli;
+	bool gang;
+	int64_t answer_ms;    /* after the request; 0: none, the request times out */
+	bool small_jobs_wait; /* for the first 500 ms, as room is kept for the step */
+};
+
+static const struct mute_case mute_cases[] = {
+	{ "tasks, no answer", 20, 400, false, 0 },
+	{ "large tasks, no answer", 10, 900, false, 0 },
+	{ "gangs, no answer", 10, 900, true, 0 },
+	{ "tasks, an answer", 20, 400, false, 400, true },
+	{ "large tasks, an answer", 10, 900, false, 400, true },
+};
+
+/* Answers the requests that are old enough. */
+static void answer_old(struct fixture *f, GArray *sent_ms, int64_t answer_ms)
+{
+	while (sent_ms->len < f->advice->len)
+		g_array_append_val(sent_ms, f->now_ms);
+	while (sent_ms->len &&
+	       f->now_ms - g_array_index(sent_ms, int64_t, 0) >= (answer_ms ? answer_ms : 3000)) {
+		g_array_remove_index(sent_ms, 0);
+		if (answer_ms) {
+			fixture_advise(f, "", 2000);
+			continue;
+		}
+		scheduler_advice_answered(f->sched, first_request(f)->step, NULL, 0, NULL, 0, 0,
+					  false, f->now_ms);
+		g_array_remove_index(f->advice, 0);
+	}
+}
+
+/*
+ * Guards against jobs that wait for an advisor which isn't theirs: room was kept for tasks whose
+ * request was in flight. While the advisor didn't answer, all of the pool was kept for ever. The
+ * other side: while an answer is to be expected, room is kept.
+ */
+Test(advice, an_advisor_that_does_not_answer_keeps_no_room)
+{
+	enum { RUNNERS = 10, JOBS = 12, SMALL = 5, LIMIT_MS = 3000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(mute_cases); i++) {
+		const struct mute_case *c = &mute_cases[i];
+		struct fixture *f = advised_fixture(RUNNERS);
+		struct workload *w = workload_create(f);
+		g_autoptr(GArray) sent_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+
+		for (uint32_t k = 0; k < JOBS; k++) {
+			g_autofree char *id = g_strdup_printf("a%015x", k);
+			Cell__Job *job = fixture_new_job(id, "quick", c->tasks, c->cpu_milli);
+
+			job->step[0]->gang = c->gang;
+			fixture_submit(f, job);
+		}
+		workload_run(w, 20);
+		for (uint32_t k = 0; k < SMALL; k++) {
+			g_autofree char *id = g_strdup_printf("b%015x", k);
+
+			fixture_submit(f, fixture_new_job(id, "other", 1, 300));
+		}
+		for (int64_t t = 0; t < LIMIT_MS; t += WORKLOAD_STEP_MS) {
+			workload_run(w, WORKLOAD_STEP_MS);
+			answer_old(f, sent_ms, c->answer_ms);
+			if (t < 300 && c->small_jobs_wait)
+				cr_assert_eq(workload_started(w, "b"), 0, "%s: after %d ms",
+					     c->what, (int)t);
+		}
+		if (c->answer_ms)
+			cr_expect_geq(workload_started(w, "a"), 10, "%s: %u tasks started", c->what,
+				      workload_started(w, "a"));
+		else
+			cr_expect_eq(workload_started(w, "b"), SMALL, "%s: %u small jobs started",
+				     c->what, workload_started(w, "b"));
+		workload_destroy(w);
+		fixture_destroy(f);
+	}
+}
