cell: a run of a gang counts as one attempt, whichever members fail

Cause: the failures of the members were added up, so a run in which three members failed used three attempts.

Change: the first failure of a run is counted, with the number of the run, which the members share; further ones of the same run count nothing. The number is in the job log, as a part of the ends may be noted by another scheduler. Failures that older releases have counted are limited to the runs that ended.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -68,7 +68,7 @@
 }
 
 static void end_failed(struct scheduler *s, const struct cell_runner *rn, struct cell_job *j,
-		       uint32_t task)
+		       uint32_t task, uint32_t run_number)
 {
 	struct job_task *t = cell_job_task(j, task);
 
@@ -76,7 +76,7 @@
 	t->avoid_until_ms = s->now_ms + AVOID_MS;
 	if (cell_job_has_ended(j))
 		return;
-	if (cell_job_mark_task_failed(j, task))
+	if (cell_job_mark_run_failed(j, task, run_number))
 		scheduler_end_job(s, j, JOB_FAILED);
 }
 
@@ -94,7 +94,7 @@
 		finish_task(s, j, task, end->run);
 	} else if (end->end == END_FAILED) {
 		crash_clear(cell_job_task(j, task));
-		end_failed(s, rn, j, task);
+		end_failed(s, rn, j, task, end->run);
 	}
 }
 
--- a/packages/cell/process/progress_record.c
+++ b/packages/cell/process/progress_record.c
@@ -72,6 +72,7 @@
 	t->task = number;
 	t->run = task->last_run;
 	t->failures = task->failures;
+	t->failed_run = task->failed_run;
 	t->crashes = crashes->crashes;
 	t->early_crashes = crashes->early_crashes;
 	t->certain_crashes = crashes->certain_crashes;
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -313,6 +313,7 @@
 
 	task->last_run = t->run;
 	task->failures = t->failures;
+	task->failed_run = t->failed_run;
 	if (t->crash_run || t->crashes) {
 		if (!task->crashes)
 			task->crashes = g_new0(struct task_crashes, 1);
@@ -330,6 +331,66 @@
 	cell_job_set_checkpoint(j, t->task, t->checkpoint);
 }
 
+struct gang_sum {
+	uint32_t failures;
+	uint32_t failed_run; /* last run that is counted */
+	uint32_t last_run;
+};
+
+static struct gang_sum gang_sum(const struct cell_job *j, const struct job_step *s)
+{
+	struct gang_sum sum = { 0 };
+
+	for (uint32_t i = 0; i < s->spec->count; i++) {
+		const struct job_task *t = cell_job_peek_task(j, s->first_task + i);
+
+		sum.failures += t->failures;
+		sum.failed_run = MAX(sum.failed_run, t->failed_run);
+		sum.last_run = MAX(sum.last_run, t->last_run);
+	}
+	return sum;
+}
+
+/* Members of the gang whose last run may exist. */
+static uint32_t stored_runs(const Cell__Progress *progress, const struct job_step *s)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < progress->n_task; i++) {
+		const Cell__TaskProgress *t = progress->task[i];
+
+		n += *t->runner && t->task >= s->first_task &&
+		     t->task - s->first_task < s->spec->count;
+	}
+	return n;
+}
+
+/*
+ * Older releases count a run of a gang for each member that fails, and don't say which run it was.
+ * No more runs can have failed than have ended for a member.
+ */
+static void limit_gang_failures(struct cell_job *j, const Cell__Progress *progress,
+				const struct job_step *s)
+{
+	struct gang_sum sum = gang_sum(j, s);
+	uint32_t live;
+	uint32_t ended;
+
+	if (!sum.failures || sum.failed_run)
+		return;
+	live = stored_runs(progress, s);
+	ended = sum.last_run - (sum.last_run && live == s->spec->count);
+	for (uint32_t i = 0; i < s->spec->count; i++) {
+		struct job_task *t = cell_job_task(j, s->first_task + i);
+
+		/* It is the failure of a member that ends the run of the others. */
+		if (live && live < s->spec->count && t->failures)
+			t->failed_run = sum.last_run;
+		t->failures = MIN(t->failures, ended);
+		ended -= t->failures;
+	}
+}
+
 static bool is_marked_done(const Cell__Progress *progress, uint32_t task)
 {
 	return task / 8 < progress->done.len && progress->done.data[task / 8] >> task % 8 & 1;
@@ -351,6 +412,9 @@
 	for (uint32_t i = 0; j->done && i < j->n_task; i++)
 		if (cell_job_task_is_done(j, i))
 			cell_job_step_of(j, i)->done++;
+	for (uint32_t i = 0; i < j->n_step; i++)
+		if (j->step[i].spec->gang && !j->step[i].done)
+			limit_gang_failures(j, progress, &j->step[i]);
 	cell_job_release(j);
 }
 
@@ -454,19 +518,26 @@
 		task_done(j, s, s->first_task + i);
 }
 
-bool cell_job_mark_task_failed(struct cell_job *j, uint32_t task)
+bool cell_job_run_has_failed(const struct cell_job *j, uint32_t task, uint32_t run)
+{
+	const struct job_step *s = cell_job_step_of(j, task);
+
+	return s->spec->gang && gang_sum(j, s).failed_run >= run;
+}
+
+bool cell_job_mark_run_failed(struct cell_job *j, uint32_t task, uint32_t run)
 {
 	struct job_step *s = cell_job_step_of(j, task);
-	uint32_t failures = 0;
+	struct job_task *t = cell_job_task(j, task);
+	uint32_t failures;
 
-	cell_job_task(j, task)->failures++;
+	if (!cell_job_run_has_failed(j, task, run)) {
+		t->failures++;
+		t->failed_run = s->spec->gang ? run : 0;
+	}
 	if (s->spec->lasting)
 		return false;
-	if (s->spec->gang)
-		for (uint32_t i = 0; i < s->spec->count; i++)
-			failures += cell_job_peek_task(j, s->first_task + i)->failures;
-	else
-		failures = cell_job_peek_task(j, task)->failures;
+	failures = s->spec->gang ? gang_sum(j, s).failures : t->failures;
 	return failures >= MAX(j->spec->attempts_max, 1);
 }
 
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -57,6 +57,7 @@
 struct job_task {
 	uint32_t last_run;    /* number of the last start, 0 for none */
 	uint32_t failures;    /* runs that failed by themselves, not lost or stopped ones */
+	uint32_t failed_run;  /* of a gang: the last one that is counted in failures */
 	char *checkpoint;     /* NULL for none */
 	struct run *live_run; /* run that may exist, owned by the scheduler; NULL for none */
 	struct task_crashes *crashes; /* NULL while there were none */
@@ -192,10 +193,15 @@
 /* cell_job_mark_task_done - marks a task, or all members of its gang, as done. */
 void cell_job_mark_task_done(struct cell_job *j, uint32_t task);
 /*
- * cell_job_mark_task_failed - counts a failure; true if the attempts are used up, so that the job
- * fails. The failures of a gang's members are added up.
+ * cell_job_mark_run_failed - counts the failure of a run of the task; true if the attempts are used
+ * up, so that the job fails. A run of a gang counts once, whichever of its members fail.
  */
-bool cell_job_mark_task_failed(struct cell_job *j, uint32_t task);
+bool cell_job_mark_run_failed(struct cell_job *j, uint32_t task, uint32_t run);
+/*
+ * cell_job_run_has_failed - true if the task belongs to a gang and the failure of another member
+ * has been counted for that run.
+ */
+bool cell_job_run_has_failed(const struct cell_job *j, uint32_t task, uint32_t run);
 /* cell_job_set_checkpoint - ignores an empty or too long checkpoint. */
 void cell_job_set_checkpoint(struct cell_job *j, uint32_t task, const char *checkpoint);
 /* cell_job_all_done - true if all tasks are done. */
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -1624,7 +1624,7 @@
   (ProtobufCMessageInit) cell__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cell__task_progress__field_descriptors[14] =
 {
   {
     "task",
@@ -1782,6 +1782,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cell__TaskProgress, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = born_ms */
@@ -1792,6 +1804,7 @@
   8,   /* field[8] = crashes */
   3,   /* field[3] = done */
   9,   /* field[9] = early_crashes */
+  13,   /* field[13] = failed_run */
   2,   /* field[2] = failures */
   1,   /* field[1] = run */
   4,   /* field[4] = runner */
@@ -1801,7 +1814,7 @@
 static const ProtobufCIntRange cell__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cell__task_progress__descriptor =
 {
@@ -1811,7 +1824,7 @@
   "Cell__TaskProgress",
   "cell",
   sizeof(Cell__TaskProgress),
-  13,
+  14,
   cell__task_progress__field_descriptors,
   cell__task_progress__field_indices_by_name,
   1,  cell__task_progress__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -153,10 +153,15 @@
    */
   uint32_t certain_crashes;
   uint32_t certain_early_crashes;
+  /*
+   * Of a member of a gang: the last run of the gang that was counted in its `failures`. A run of
+   * a gang counts once, for one member. Older releases count it for each member that fails.
+   */
+  uint32_t failed_run;
 };
 #define CELL__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cell__RunnerRef
--- a/tests/cell/test_job.c
+++ b/tests/cell/test_job.c
@@ -202,8 +202,8 @@
 	job->step[0]->gang = true;
 	job->attempts_max = 2;
 	j = make(job);
-	cr_assert_not(cell_job_mark_task_failed(j, 0));
-	cr_assert(cell_job_mark_task_failed(j, 2));
+	cr_assert_not(cell_job_mark_run_failed(j, 0, 1));
+	cr_assert(cell_job_mark_run_failed(j, 2, 2));
 	cell_job_mark_task_done(j, 1);
 	cr_assert(cell_job_all_done(j));
 	cell_job_destroy(j);
--- a/tests/cell/workload.c
+++ b/tests/cell/workload.c
@@ -22,7 +22,8 @@
 	struct fixture *f;
 	GArray *job;	    /* of struct workload_job */
 	GPtrArray *running; /* of struct wl_run */
-	GPtrArray *ended;   /* of struct wl_end, not reported yet */
+	GPtrArray *ended;   /* of struct wl_end, not acknowledged yet */
+	GPtrArray *failed;  /* of struct wl_end */
 	GPtrArray *started; /* names of tasks */
 	GPtrArray *stopped;
 	uint64_t last_seq;
@@ -54,6 +55,7 @@
 	w->job = g_array_new(FALSE, FALSE, sizeof(struct workload_job));
 	w->running = g_ptr_array_new_with_free_func(run_free);
 	w->ended = g_ptr_array_new_with_free_func(end_free);
+	w->failed = g_ptr_array_new_with_free_func(end_free);
 	w->started = g_ptr_array_new_with_free_func(g_free);
 	w->stopped = g_ptr_array_new_with_free_func(g_free);
 	return w;
@@ -64,6 +66,7 @@
 	g_array_unref(w->job);
 	g_ptr_array_unref(w->running);
 	g_ptr_array_unref(w->ended);
+	g_ptr_array_unref(w->failed);
 	g_ptr_array_unref(w->started);
 	g_ptr_array_unref(w->stopped);
 	g_free(w);
@@ -87,37 +90,51 @@
 	return &none;
 }
 
+void workload_adopt(struct workload *w, const char *runner, const char *task, uint32_t run)
+{
+	const struct workload_job *j = job_of(w, task);
+	struct wl_run *r = g_new0(struct wl_run, 1);
+
+	r->runner = g_strdup(runner);
+	r->task = g_strdup(task);
+	r->run = run;
+	r->end = j->end;
+	r->end_ms = j->run_ms ? w->f->now_ms + j->run_ms : INT64_MAX;
+	g_ptr_array_add(w->running, r);
+}
+
 static void begin_runs(struct workload *w)
 {
 	struct fixture *f = w->f;
 
 	for (guint i = 0; i < f->start->len; i++) {
 		const struct fixture_start *s = fixture_start_at(f, i);
-		const struct workload_job *j = job_of(w, s->task);
-		struct wl_run *r = g_new0(struct wl_run, 1);
-
-		r->runner = g_strdup(s->runner);
-		r->task = g_strdup(s->task);
-		r->run = s->run;
-		r->end = j->end;
-		r->end_ms = j->run_ms ? f->now_ms + j->run_ms : INT64_MAX;
-		g_ptr_array_add(w->running, r);
+
+		workload_adopt(w, s->runner, s->task, s->run);
 		g_ptr_array_add(w->started, g_strdup(s->task));
 	}
 	fixture_accept_starts(f);
 }
 
-static void end_run(struct workload *w, guint i, enum run_end end)
+static struct wl_end *end_create(const struct wl_run *r, enum run_end end, uint64_t seq)
 {
-	const struct wl_run *r = w->running->pdata[i];
 	struct wl_end *e = g_new0(struct wl_end, 1);
 
 	e->runner = g_strdup(r->runner);
 	e->task = g_strdup(r->task);
 	e->run = r->run;
 	e->end = end;
-	e->seq = ++w->last_seq;
-	g_ptr_array_add(w->ended, e);
+	e->seq = seq;
+	return e;
+}
+
+static void end_run(struct workload *w, guint i, enum run_end end)
+{
+	const struct wl_run *r = w->running->pdata[i];
+
+	g_ptr_array_add(w->ended, end_create(r, end, ++w->last_seq));
+	if (end == END_FAILED)
+		g_ptr_array_add(w->failed, end_create(r, end, 0));
 	g_ptr_array_remove_index(w->running, i);
 }
 
@@ -163,6 +180,17 @@
 	return false;
 }
 
+/* The runner forgets the ends that are stored. */
+static void forget_ends(struct workload *w, const char *runner, uint64_t acked_end)
+{
+	for (guint i = w->ended->len; i > 0; i--) {
+		const struct wl_end *e = w->ended->pdata[i - 1];
+
+		if (e->seq <= acked_end && g_str_equal(e->runner, runner))
+			g_ptr_array_remove_index(w->ended, i - 1);
+	}
+}
+
 static void answer_poll(struct workload *w, const char *runner)
 {
 	g_autoptr(GArray) running = g_array_new(FALSE, FALSE, sizeof(struct poll_running));
@@ -193,9 +221,6 @@
 	}
 	fixture_poll_answer(w->f, runner, (const struct poll_running *)running->data, running->len,
 			    (const struct poll_ended *)ended->data, ended->len);
-	for (guint i = w->ended->len; i > 0; i--)
-		if (g_str_equal(((const struct wl_end *)w->ended->pdata[i - 1])->runner, runner))
-			g_ptr_array_remove_index(w->ended, i - 1);
 }
 
 static void answer_polls(struct workload *w)
@@ -203,9 +228,10 @@
 	GArray *poll = w->f->poll;
 
 	for (guint n = poll->len; n > 0 && poll->len; n--) {
-		g_autofree char *runner =
-			g_strdup(g_array_index(poll, struct fixture_poll, 0).runner);
+		const struct fixture_poll *p = &g_array_index(poll, struct fixture_poll, 0);
+		g_autofree char *runner = g_strdup(p->runner);
 
+		forget_ends(w, runner, p->acked_end);
 		answer_poll(w, runner);
 	}
 }
@@ -236,6 +262,19 @@
 	return count_names(w->started, prefix);
 }
 
+uint32_t workload_failed_runs(const struct workload *w, const char *prefix)
+{
+	g_autoptr(GHashTable) runs = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < w->failed->len; i++) {
+		const struct wl_end *e = w->failed->pdata[i];
+
+		if (g_str_has_prefix(e->task, prefix))
+			g_hash_table_add(runs, GUINT_TO_POINTER(e->run));
+	}
+	return g_hash_table_size(runs);
+}
+
 uint32_t workload_stopped(const struct workload *w, const char *prefix)
 {
 	return count_names(w->stopped, prefix);
