cell: members of a gang that fail together count as one failure of a runner

What callers see: after one failed run of a gang no task starts on a runner that two of its members shared, for 2 s.

Cause: two failures in a row put a runner into quarantine, and each member counted as one.

Change: only the first failure of a run of a gang counts against a runner.

Evidence: members_that_fail_together_put_no_runner_into_quarantine fails on the parent commit (0 of 4 tasks of the next job start) and passes now.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -130,7 +130,9 @@
 	if (r && r->number == end->run && r->runner == rn) {
 		if (end->end == END_FAILED) {
 			scheduler_report_run(s, DECISION_FAILED, r);
-			count_failure(s, rn, r);
+			/* Members of a gang that fail together are one failure. */
+			if (!cell_job_run_has_failed(j, task, end->run))
+				count_failure(s, rn, r);
 		}
 		scheduler_drop_run(s, r);
 		if (cell_job_task_is_done(j, task)) {
--- a/tests/cell/test_gang_attempts.c
+++ b/tests/cell/test_gang_attempts.c
@@ -238,3 +238,25 @@
 		fixture_destroy(f);
 	}
 }
+
+/*
+ * Guards against a runner that gets no starts because of one failed run: two members of a gang that
+ * failed on it counted as two failures in a row, which put it into quarantine.
+ */
+Test(gang_attempts, members_that_fail_together_put_no_runner_into_quarantine)
+{
+	const int64_t fails_ms[] = { 300, 300, 300, 300 };
+	struct fixture *f = fixture_with_gang(1, 4);
+	struct workload *w = workload_create(f);
+
+	set_failures(w, 4, fails_ms);
+	while (workload_failed_runs(w, GANG) == 0)
+		workload_run(w, WORKLOAD_STEP_MS);
+	fixture_cancel(f, GANG);
+	fixture_submit(f, fixture_new_job("00000000000000b2", "urgent", 4, 1000));
+	workload_run(w, 500);
+	cr_expect_eq(workload_started(w, "00000000000000b2"), 4, "%u of 4 tasks started",
+		     workload_started(w, "00000000000000b2"));
+	workload_destroy(w);
+	fixture_destroy(f);
+}
