cell: a task larger than the headroom leaves may have a whole runner

Cause: the headroom of 15 percent was asked for on empty runners too, where such a task can never leave it.

Change: need and headroom together are at most the runner's capacity.

Evidence: a_task_larger_than_the_headroom_leaves_starts_on_an_empty_runner fails on the parent commit (0 starts on an empty runner). Tasks that can leave the headroom still do, and larger ones don't start on a runner in use.

--- a/packages/cell/process/headroom.c
+++ b/packages/cell/process/headroom.c
@@ -18,7 +18,11 @@
 {
 	struct resources want = *need;
 
-	/* Only CPU, which is what urgent work runs out of first. */
+	/*
+	 * Only CPU, which is what urgent work runs out of first. A task that needs more of a runner
+	 * than the headroom leaves has to have all of it.
+	 */
 	want.cpu_milli += rn->capacity.cpu_milli * milli / 1000;
+	want.cpu_milli = MIN(want.cpu_milli, MAX(rn->capacity.cpu_milli, need->cpu_milli));
 	return resources_fits(&want, free);
 }
--- a/tests/cell/test_headroom.c
+++ b/tests/cell/test_headroom.c
@@ -128,6 +128,47 @@
 	}
 }
 
+struct large_task_case {
+	const char *what;
+	uint32_t cpu_milli;
+	uint32_t used_milli; /* of the only runner */
+	uint32_t starts;
+};
+
+/*
+ * Guards against tasks that wait beside empty runners: a task of more than 85 percent of a runner
+ * never left the headroom free, and did not start for as long as its job had time to spare.
+ */
+Test(headroom, a_task_larger_than_the_headroom_leaves_starts_on_an_empty_runner)
+{
+	static const struct large_task_case cases[] = {
+		{ "an empty runner", 900, 0, 1 },
+		{ "all of an empty runner", 1000, 0, 1 },
+		{ "a runner in use", 900, 50, 0 },
+		{ "a task that leaves the headroom", 800, 50, 1 },
+		{ "a task that doesn't", 840, 50, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture *f = mixed_fixture();
+		Cell__Job *job = long_job(f, ID_A, "batch", 1);
+		uint32_t before;
+
+		if (cases[i].used_milli)
+			fixture_submit_and_start(
+				f, fixture_new_job(ID_B, "urgent", 1, cases[i].used_milli));
+		before = f->starts;
+		job->step[0]->cpu_milli = cases[i].cpu_milli;
+		fixture_submit(f, job);
+		fixture_advance(f, 1);
+		if (f->batch)
+			fixture_ack_batch(f);
+		cr_expect_eq(f->starts - before, cases[i].starts, "%s: %u starts", cases[i].what,
+			     f->starts - before);
+		fixture_destroy(f);
+	}
+}
+
 struct neighbour_case {
 	const char *what;
 	bool first_is_filler;
