cell: findings of the linter

Cause: a split string in a table, and a product of 32-bit numbers that is widened.

Change: a shorter text for fillers that are stopped; a 64-bit share.

--- a/packages/node/process/decisions.c
+++ b/packages/node/process/decisions.c
@@ -44,8 +44,7 @@
 		[DECISION_FAILED] = "run failed",
 		[DECISION_HUNG] = "run makes no progress, stopped",
 		[DECISION_PREEMPTED] = "preempted for more urgent work",
-		[DECISION_INTERFERES] = "stopped: a serving task beside it is "
-					"over its target",
+		[DECISION_INTERFERES] = "stopped for a serving task beside it",
 		[DECISION_CAP_LOWERED] = "start withdrawn: over its team's cap"
 	};
 	static const char *const ends[] = { [END_DONE] = "done",
--- a/tests/cell/test_gang_attempts.c
+++ b/tests/cell/test_gang_attempts.c
@@ -48,7 +48,7 @@
 /* Each runner has room for no more members than its share. */
 static struct fixture *fixture_with_gang(uint32_t runners, uint32_t members)
 {
-	uint32_t share = (members + runners - 1) / runners;
+	int64_t share = (members + runners - 1) / runners;
 	struct fixture *f = fixture_default(runners, 1000 * share);
 	Cell__Job *job = fixture_new_job(GANG, "urgent", members, 1000);
 
