tests: real processes with gangs that fail, fillers, large and stuck jobs

Change: callers of the soak also hand in gangs, gangs that fail, fillers, large jobs, serving tasks with a target, and lasting tasks that wait for a label. The stand-in of the runners knows tasks that fail, fill, or last and report a tail latency.

--- a/tests/platform_vm/callers.c
+++ b/tests/platform_vm/callers.c
@@ -33,6 +33,37 @@
 	[CALL_LIST] = "GET",	[CALL_ODD] = "POST",
 };
 
+struct job_kind {
+	int percent;
+	enum caller_outcome outcome;
+	const char *format; /* of the work in ms and two numbers of tasks */
+};
+
+/* Kinds that may keep each other from starting, beside plain ones. */
+static const struct job_kind job_kinds[] = {
+	{ 60, CALLER_DONE,
+	  "{\"spec\":\"%1$d\",\"steps\":[{\"count\":%2$d,\"cpu\":1000,\"mem-mb\":64},"
+	  "{\"count\":%3$d,\"cpu\":500,\"mem-mb\":32,\"after\":[0]}]}" },
+	{ 8, CALLER_DONE,
+	  "{\"spec\":\"%1$d\",\"steps\":[{\"count\":%2$d,\"cpu\":2000,\"gang\":true,"
+	  "\"estimate-ms\":%1$d},{\"count\":%3$d,\"cpu\":500,\"after\":[0]}]}" },
+	{ 8, CALLER_FAILED,
+	  "{\"spec\":\"fails %1$d\",\"steps\":[{\"count\":%2$d,\"cpu\":%3$d000,\"gang\":true,"
+	  "\"estimate-ms\":%1$d}]}" },
+	{ 8, CALLER_DONE,
+	  "{\"spec\":\"fills %1$d\",\"steps\":[{\"count\":%2$d,\"cpu\":%3$d000,"
+	  "\"estimate-ms\":%1$d,\"fills\":true,\"checkpoints\":true}]}" },
+	{ 4, CALLER_LASTS,
+	  "{\"spec\":\"lasts %1$d 300\",\"steps\":[{\"count\":%2$d,\"cpu\":%3$d00,"
+	  "\"long-running\":true,\"target-ms\":2000}]}" },
+	{ 8, CALLER_DONE,
+	  "{\"spec\":\"%1$d\",\"steps\":[{\"count\":%2$d,\"cpu\":4%3$d000,"
+	  "\"estimate-ms\":%1$d}]}" },
+	{ 4, CALLER_WAITS,
+	  "{\"spec\":\"lasts %1$d 300\",\"steps\":[{\"count\":2%2$d,\"cpu\":%3$d000,"
+	  "\"needs\":\"b\",\"long-running\":true}]}" },
+};
+
 struct callers {
 	struct vm_cell *cell;
 	uint32_t vms;
@@ -168,16 +199,28 @@
 					 on_answered, call);
 }
 
+/* The same for each attempt to hand the job in. */
+static const struct job_kind *kind_of(GRand *rand)
+{
+	int roll = g_rand_int_range(rand, 0, 100);
+
+	for (guint i = 0; i < G_N_ELEMENTS(job_kinds); i++)
+		if ((roll -= job_kinds[i].percent) < 0)
+			return &job_kinds[i];
+	return &job_kinds[0];
+}
+
 static void submit(struct callers *cl, uint32_t vm, struct caller_job *job)
 {
 	g_autoptr(GRand) rand = g_rand_new_with_seed((guint32)job->id);
-	g_autofree char *text = g_strdup_printf(
-		"{\"spec\":\"%d\",\"steps\":[{\"count\":%d,\"cpu\":1000,\"mem-mb\":64},"
-		"{\"count\":%d,\"cpu\":500,\"mem-mb\":32,\"after\":[0]}]}",
-		g_rand_int_range(rand, 1, WORK_MAX_MS), g_rand_int_range(rand, 1, COUNT_MAX),
-		g_rand_int_range(rand, 1, COUNT_MAX));
+	const struct job_kind *kind = kind_of(rand);
+	int work_ms = g_rand_int_range(rand, 1, WORK_MAX_MS);
+	int count = g_rand_int_range(rand, 1, COUNT_MAX);
+	g_autofree char *text =
+		g_strdup_printf(kind->format, work_ms, count, g_rand_int_range(rand, 1, COUNT_MAX));
 	g_autoptr(GBytes) body = g_bytes_new(text, strlen(text));
 
+	job->outcome = kind->outcome;
 	job->pending = true;
 	send_call(cl, vm, CALL_SUBMIT, job, job->id, body);
 }
--- a/tests/platform_vm/callers.h
+++ b/tests/platform_vm/callers.h
@@ -10,9 +10,18 @@
  */
 struct callers;
 
+/* How a job ends if nobody cancels it. */
+enum caller_outcome {
+	CALLER_DONE = 0,
+	CALLER_FAILED, /* after three runs that failed */
+	CALLER_LASTS,  /* not: it runs until it is cancelled */
+	CALLER_WAITS,  /* not: some of its tasks find no room while others of its kind last */
+};
+
 /* What the callers know of one job. */
 struct caller_job {
 	uint64_t id;
+	enum caller_outcome outcome;
 	uint32_t refusals;
 	bool accepted;
 	bool unanswered; /* an attempt had no answer */
--- a/tests/platform_vm/run_record.c
+++ b/tests/platform_vm/run_record.c
@@ -1,5 +1,6 @@
 #include <gio/gio.h>
 
+#include "request/cell_job.h"
 #include "run_record.h"
 
 struct live_run {
@@ -16,8 +17,9 @@
 };
 
 struct run_record {
-	GHashTable *task;  /* name -> struct task_record */
-	GHashTable *lease; /* runner -> int64_t, ms of the steady clock */
+	GHashTable *task;   /* name -> struct task_record */
+	GHashTable *lease;  /* runner -> int64_t, ms of the steady clock */
+	GHashTable *failed; /* set of "JOB.RUN" */
 	GString *faults;
 };
 
@@ -35,6 +37,7 @@
 
 	rec->task = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, task_record_free);
 	rec->lease = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	rec->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rec->faults = g_string_new("");
 	return rec;
 }
@@ -45,6 +48,7 @@
 		return;
 	g_hash_table_unref(rec->task);
 	g_hash_table_unref(rec->lease);
+	g_hash_table_unref(rec->failed);
 	g_string_free(rec->faults, TRUE);
 	g_free(rec);
 }
@@ -123,6 +127,23 @@
 	t->done_starts = t->starts;
 }
 
+void run_record_failed(struct run_record *rec, const char *task, uint32_t run)
+{
+	g_hash_table_add(rec->failed, g_strdup_printf("%.*s.%u", JOB_ID_LEN, task, run));
+}
+
+uint32_t run_record_failed_runs(const struct run_record *rec, const char *job)
+{
+	GHashTableIter it;
+	gpointer key;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, rec->failed);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		n += g_str_has_prefix(key, job);
+	return n;
+}
+
 void run_record_told(struct run_record *rec, const char *task, uint32_t run)
 {
 	struct task_record *t = find_task(rec, task);
--- a/tests/platform_vm/run_record.h
+++ b/tests/platform_vm/run_record.h
@@ -22,6 +22,10 @@
 /* run_record_end - a run is over; done: it ended as done. */
 void run_record_end(struct run_record *rec, const void *runner, const char *task, uint32_t run,
 		    bool done);
+/* run_record_failed - the run has ended as failed; call run_record_end() too. */
+void run_record_failed(struct run_record *rec, const char *task, uint32_t run);
+/* run_record_failed_runs - different numbers of runs of the job's tasks that failed. */
+uint32_t run_record_failed_runs(const struct run_record *rec, const char *job);
 /* run_record_told - the end "done" of this run was taken note of. */
 void run_record_told(struct run_record *rec, const char *task, uint32_t run);
 /* run_record_lost - the runner has crashed: nothing runs there. */
--- a/tests/platform_vm/runner_server.c
+++ b/tests/platform_vm/runner_server.c
@@ -23,7 +23,11 @@
 	char *checkpoint;
 	uint32_t number;
 	int64_t started_ms;
-	int64_t work_ms;
+	int64_t work_ms; /* INT64_MAX: until it is stopped */
+	const char *how; /* it ends by itself */
+	bool fills;
+	uint32_t tail_ms;
+	uint32_t tail_mixed_ms;
 };
 
 struct run_end {
@@ -103,10 +107,11 @@
 	g_autofree char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"ready\",\"cold-ms\":0,\"capacity\":{\"cpu\":%u,"
-		"\"mem-mb\":%u,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"time-ms\":%" G_GINT64_FORMAT
-		",\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
+		"\"mem-mb\":%u,\"gpu\":0},\"labels\":[\"%s\",\"r1-1\"],\"time-ms\":"
+		"%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
 		r->conf.service, r->conf.ip, r->settings.http_port, r->conf.zone, r->conf.cpu_milli,
-		r->conf.mem_mib, runner_now(r), r->born_ms, ++r->beat);
+		r->conf.mem_mib, r->conf.label ? r->conf.label : "a", runner_now(r), r->born_ms,
+		++r->beat);
 
 	store_server_put(r->conf.store, "keyed.servers", r->id, text, strlen(text));
 	r->next_beat_ms = steady_ms() + BEAT_MS;
@@ -135,14 +140,28 @@
 	http_reply_json(msg, status, text);
 }
 
-static void add_running(JsonBuilder *b, const struct run *run)
+static bool has_filler(const struct runner_server *r)
 {
+	GHashTableIter it;
+	gpointer run;
+
+	g_hash_table_iter_init(&it, r->running);
+	while (g_hash_table_iter_next(&it, NULL, &run))
+		if (((const struct run *)run)->fills)
+			return true;
+	return false;
+}
+
+static void add_running(JsonBuilder *b, const struct run *run, bool mixed)
+{
+	uint32_t tail_ms = mixed ? run->tail_mixed_ms : run->tail_ms;
+
 	json_builder_begin_array(b);
 	json_builder_add_string_value(b, run->task);
 	json_builder_add_int_value(b, run->number);
 	json_builder_add_string_value(b, run->checkpoint);
 	json_builder_add_int_value(b, 100);
-	json_builder_add_int_value(b, 1000);
+	json_builder_add_int_value(b, run->work_ms == INT64_MAX ? tail_ms : 1000);
 	json_builder_end_array(b);
 }
 
@@ -181,7 +200,7 @@
 	json_builder_begin_array(b);
 	g_hash_table_iter_init(&it, r->running);
 	while (g_hash_table_iter_next(&it, NULL, &run))
-		add_running(b, run);
+		add_running(b, run, has_filler(r));
 	if (r->mode == RUNNER_ODD)
 		add_odd_rows(b);
 	json_builder_end_array(b);
@@ -234,6 +253,8 @@
 	note_highest(r, task, run->number);
 	if (r->conf.record)
 		run_record_end(r->conf.record, r, task, run->number, g_str_equal(how, "done"));
+	if (r->conf.record && g_str_equal(how, "failed"))
+		run_record_failed(r->conf.record, task, run->number);
 	g_ptr_array_add(r->finished, e);
 	g_hash_table_remove(r->running, e->task);
 }
@@ -252,8 +273,11 @@
 		if (lapsed || steady_ms() - run->started_ms >= run->work_ms)
 			g_ptr_array_add(due, g_strdup(run->task));
 	}
-	for (guint i = 0; i < due->len; i++)
-		end_run(r, due->pdata[i], lapsed ? "lapsed" : "done");
+	for (guint i = 0; i < due->len; i++) {
+		const struct run *run = g_hash_table_lookup(r->running, due->pdata[i]);
+
+		end_run(r, due->pdata[i], lapsed ? "lapsed" : run->how);
+	}
 	if (lapsed)
 		r->lapsed = r->last_end;
 }
@@ -352,6 +376,31 @@
 	return root;
 }
 
+static uint32_t number_at(char **word, guint i)
+{
+	return i < g_strv_length(word) ? (uint32_t)g_ascii_strtoull(word[i], NULL, 10) : 0;
+}
+
+static void read_spec(struct run *run, const char *spec)
+{
+	g_auto(GStrv) word = g_strsplit(spec, " ", 4);
+	const char *what = *word ? *word : "";
+
+	run->how = "done";
+	run->work_ms = WORK_DEFAULT_MS;
+	if (g_ascii_isdigit(*what)) {
+		run->work_ms = number_at(word, 0);
+	} else if (g_str_equal(what, "lasts")) {
+		run->work_ms = INT64_MAX;
+		run->tail_ms = number_at(word, 1);
+		run->tail_mixed_ms = number_at(word, 2);
+	} else if (g_str_equal(what, "fills") || g_str_equal(what, "fails")) {
+		run->work_ms = number_at(word, 1);
+		run->fills = g_str_equal(what, "fills");
+		run->how = run->fills ? "done" : "failed";
+	}
+}
+
 static void start_run(struct runner_server *r, JsonObject *o, const char *task, uint32_t number)
 {
 	const char *spec = fields_text(o, "spec");
@@ -361,8 +410,7 @@
 	run->checkpoint = g_strdup(fields_text(o, "checkpoint"));
 	run->number = number;
 	run->started_ms = steady_ms();
-	run->work_ms = g_ascii_isdigit(*spec) ? (int64_t)g_ascii_strtoull(spec, NULL, 10)
-					      : WORK_DEFAULT_MS;
+	read_spec(run, spec);
 	g_hash_table_replace(r->running, run->task, run);
 	if (r->conf.record)
 		run_record_start(r->conf.record, r, task, number);
--- a/tests/platform_vm/runner_server.h
+++ b/tests/platform_vm/runner_server.h
@@ -9,8 +9,10 @@
 
 /*
  * runner_server - stand-in of a runner in the test process: runs tasks, holds leases, lists ends
- * and reports itself to the store, served by the default main context. A task works for as many
- * milliseconds as its spec says, which has to begin with a number. A body with a control character
+ * and reports itself to the store, served by the default main context. What a task does
+ * is said by its spec: "MS" works for so many milliseconds, "fills MS" too, "fails MS" ends as
+ * failed then, and "lasts TAIL MIXED" goes on and reports these tail latencies, MIXED while a task
+ * that fills is on the runner. A body with a control character
  * is refused, as JSON allows none.
  */
 struct runner_server;
@@ -31,6 +33,7 @@
 	const char *ip;
 	uint32_t cpu_milli;
 	uint32_t mem_mib;
+	const char *label; /* NULL for "a" */
 	struct store_server *store;
 	struct run_record *record; /* shared by all runners; NULL for none */
 };
--- a/tests/platform_vm/soak.c
+++ b/tests/platform_vm/soak.c
@@ -43,6 +43,7 @@
 	k->disturbed = g_new0(uint32_t, conf->vms);
 	k->cell = vm_cell_create(&(struct vm_cell_conf){ .vms = conf->vms,
 							 .runners = conf->runners,
+							 .labelled = 1,
 							 .memory_max_bytes = MEMORY_MAX_BYTES,
 							 .descriptors_max = conf->descriptors_max,
 							 .file_max_bytes = conf->log_max_bytes });
@@ -132,6 +133,22 @@
 	g_string_append_c(k->faults, '\n');
 }
 
+static void check_failed(struct soak *k, const struct caller_job *job, int64_t end_us)
+{
+	g_autofree char *name = g_strdup_printf("%016" G_GINT64_MODIFIER "x.", job->id);
+	uint32_t runs;
+
+	if (!vm_cell_wait_state(k->cell, job->id, "failed", left_ms(end_us))) {
+		g_string_append_printf(k->faults, "%s fails in each run, and is not failed\n",
+				       name);
+		return;
+	}
+	runs = run_record_failed_runs(vm_cell_record(k->cell), name);
+	if (runs < VM_CELL_ATTEMPTS)
+		g_string_append_printf(k->faults, "%s is failed after %u failed runs\n", name,
+				       runs);
+}
+
 struct job_wait {
 	const struct caller_job *job;
 	char *name;
@@ -146,6 +163,30 @@
 	return !run_record_running(vm_cell_record(c), w->name);
 }
 
+static bool is_running(struct vm_cell *c, void *ctx)
+{
+	return !is_gone(c, ctx);
+}
+
+/* Cancels a job that lasts, when all others have ended beside it. */
+static void end_lasting(struct soak *k, const struct caller_job *job, int64_t end_us)
+{
+	g_autofree char *name = g_strdup_printf("%016" G_GINT64_MODIFIER "x.", job->id);
+	g_autofree char *path = vm_cell_job_path(job->id);
+	struct job_wait w = { .job = job, .name = name, .vms = k->conf.vms };
+	struct vm_reply r;
+
+	if (job->outcome == CALLER_LASTS && !job->cancelling &&
+	    !vm_cell_wait_until(k->cell, is_running, &w, left_ms(end_us)))
+		g_string_append_printf(k->faults, "%s lasts, and does not run\n", name);
+	r = vm_cell_call(k->cell, 0, "DELETE", path, NULL, LAST_CALL_MS);
+	if (r.status / 100 != 2)
+		g_string_append_printf(k->faults, "%s: %u to its cancel\n", name, r.status);
+	else if (!vm_cell_wait_until(k->cell, is_gone, &w, CANCEL_WAIT_MS))
+		g_string_append_printf(k->faults, "%s was cancelled, and runs\n", name);
+	g_free(r.body);
+}
+
 /* A cancel without an answer may or may not have been carried out. */
 static bool is_decided(struct vm_cell *c, void *ctx)
 {
@@ -153,7 +194,8 @@
 	uint32_t vm = w->next++ % w->vms;
 	const char *state = vm_cell_job_state(c, vm, w->job->id);
 
-	return g_str_equal(state, "done") || g_str_equal(state, "cancelled");
+	return g_str_equal(state, "done") || g_str_equal(state, "failed") ||
+	       g_str_equal(state, "cancelled");
 }
 
 static void check_cancelled(struct soak *k, const struct caller_job *job, int64_t end_us)
@@ -176,6 +218,19 @@
 		g_string_append_printf(k->faults, "%s was refused each time, and ran\n", name);
 }
 
+static void check_nothing(struct soak *k, const struct caller_job *job, int64_t end_us)
+{
+}
+
+typedef void (*check_fn)(struct soak *k, const struct caller_job *job, int64_t end_us);
+
+static const check_fn check_outcome[] = {
+	[CALLER_DONE] = check_done,
+	[CALLER_FAILED] = check_failed,
+	[CALLER_LASTS] = check_nothing,
+	[CALLER_WAITS] = check_nothing,
+};
+
 static void check_jobs(struct soak *k)
 {
 	int64_t end_us = g_get_monotonic_time() + (int64_t)JOBS_WAIT_MS * 1000;
@@ -186,10 +241,16 @@
 		k->accepted += job->accepted && !job->cancelling;
 		if (!job->accepted)
 			check_refused(k, job);
-		else if (job->cancelling)
+		else if (job->cancelling && (job->cancelled || job->outcome < CALLER_LASTS))
 			check_cancelled(k, job, end_us);
 		else
-			check_done(k, job, end_us);
+			check_outcome[job->outcome](k, job, end_us);
+	}
+	for (uint32_t i = 0; i < callers_jobs(k->callers); i++) {
+		const struct caller_job *job = callers_job(k->callers, i);
+
+		if (job->accepted && !job->cancelled && job->outcome >= CALLER_LASTS)
+			end_lasting(k, job, end_us);
 	}
 	g_string_append(k->faults, run_record_faults(vm_cell_record(k->cell)));
 }
--- a/tests/platform_vm/soak.h
+++ b/tests/platform_vm/soak.h
@@ -10,7 +10,8 @@
  * troubles are over and a bounded time has passed:
  *
  * - no process has ended by itself, and each that was sent SIGTERM ended with status 0;
- * - each VM is ready, and each accepted job that nobody cancelled is done; none answers 410;
+ * - each VM is ready, and each accepted job that nobody cancelled is done, or has failed after as
+ *   many runs as it has attempts, or lasts and runs; none answers 410;
  * - no task ran twice at the same time or started after its end was told; nothing runs on of a
  *   cancelled job, and nothing ran of a job whose attempts were all refused;
  * - each request that a calm process took has a status;
--- a/tests/platform_vm/vm_cell.c
+++ b/tests/platform_vm/vm_cell.c
@@ -103,10 +103,12 @@
 	"{\"version\":%u,\"routes\":[{\"name\":\"q\",\"host\":\"" VM_CELL_HOST
 	"\",\"prefix\":\"" VM_CELL_PREFIX
 	"\",\"kind\":\"unsafe\",\"timeout-ms\":3000,\"slo-ms\":1000,\"priority\":0,"
-	"\"service\":\"" VM_CELL_SERVICE "\",\"attempts\":3,\"stretch\":2.0}%s],"
-	"\"services\":[{\"name\":\"" VM_CELL_SERVICE
-	"\",\"health\":\"/healthz\",\"max-conns\":64,\"protocol\":\"h1\",\"tls\":false}],"
-	"\"limits\":{\"header-bytes\":16384,\"body-bytes\":262144}}";
+	"\"service\":\"" VM_CELL_SERVICE "\",\"attempts\":" G_STRINGIFY(
+		VM_CELL_ATTEMPTS) ",\"stretch\":2.0}%s],"
+				  "\"services\":[{\"name\":\"" VM_CELL_SERVICE
+				  "\",\"health\":\"/"
+				  "healthz\",\"max-conns\":64,\"protocol\":\"h1\",\"tls\":false}],"
+				  "\"limits\":{\"header-bytes\":16384,\"body-bytes\":262144}}";
 
 /* Runs in the child before it executes the daemon. */
 static void prepare_child(gpointer data)
@@ -359,6 +361,7 @@
 								 ? c->conf.runner_cpu_milli
 								 : RUNNER_CPU_MILLI,
 					    .mem_mib = RUNNER_MEM_MIB,
+					    .label = i < c->conf.labelled ? "b" : "a",
 					    .store = c->store,
 					    .record = c->record };
 
--- a/tests/platform_vm/vm_cell.h
+++ b/tests/platform_vm/vm_cell.h
@@ -26,11 +26,13 @@
 #define VM_CELL_PREFIX	   "/q/" /* of the only queue */
 #define VM_CELL_SERVICE	   "desk"
 #define VM_CELL_HOST	   "jobs.example"
+#define VM_CELL_ATTEMPTS   3 /* of the queue */
 
 struct vm_cell_conf {
 	uint32_t vms;
 	uint32_t runners;
 	uint32_t runner_cpu_milli; /* 0: 64,000 */
+	uint32_t labelled;	   /* runners with the label b; the others have a */
 	/* Lines of the settings file, after those of the cell; NULL for none. */
 	const char *more_settings;
 	/* A process with more resident memory is killed, as the platform does; 0: not limited. */
