tests: the simulation knows gangs whose members fail together

Cause: in the simulation one member of a gang failed and the others were ended, so the sum of all failures was right, and no check counted runs.

Change: with a part of the failures all members fail. A run of a gang counts once towards its attempts, both for jobs that fail early and for starts after all attempts, the latter now also over all members of a gang. Six new cases, with lost and late orders, restarts, replaced schedulers and a slow store.

--- a/tests/cell/sim.c
+++ b/tests/cell/sim.c
@@ -644,6 +644,8 @@
 	g_hash_table_unref(s->done);
 	g_hash_table_unref(s->history);
 	g_hash_table_unref(s->listed_failures);
+	g_hash_table_unref(s->failed_runs);
+	g_hash_table_unref(s->noted_runs);
 	g_hash_table_unref(s->job);
 	g_ptr_array_unref(s->queues);
 	g_array_unref(s->caps);
@@ -665,6 +667,8 @@
 	s.done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s.history = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, sim_history_free);
 	s.listed_failures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.failed_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s.noted_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s.job = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s.faults_until_ms = START_MS + (int64_t)conf->jobs * conf->job_every_ms + 5000;
 	end_ms = s.faults_until_ms + FAULT_FREE_MS + (conf->cap_milli ? CAPPED_MORE_MS : 0);
--- a/tests/cell/sim.h
+++ b/tests/cell/sim.h
@@ -24,6 +24,7 @@
 	uint32_t cancel_milli;	   /* share of jobs */
 	uint32_t fail_milli;	   /* share of runs */
 	uint32_t poison_milli;	   /* share of jobs whose runs all fail */
+	uint32_t gang_fails_milli; /* share of failures of a gang with which all members fail */
 	uint32_t write_ms;	   /* time to store progress; 0 for a fast store */
 	uint32_t store_ms;	   /* time to store a job, mean; 0 for none */
 	uint32_t hang_milli;	   /* share of runs that hang */
--- a/tests/cell/sim_priv.h
+++ b/tests/cell/sim_priv.h
@@ -97,6 +97,8 @@
 			     allowed */
 	GHashTable *history;	     /* struct sim_history by task */
 	GHashTable *listed_failures; /* of each task, or of each gang by its step */
+	GHashTable *failed_runs;     /* set of runs of gangs whose failure was listed */
+	GHashTable *noted_runs;	     /* the same for failures that were acknowledged */
 	GHashTable *job;
 	uint32_t jobs;
 	int64_t faults_until_ms;
--- a/tests/cell/simrunner.c
+++ b/tests/cell/simrunner.c
@@ -50,6 +50,7 @@
 struct sim_end {
 	uint64_t seq;
 	char *name;
+	char *gang; /* as of the task */
 	uint32_t run;
 	enum run_end end;
 	int64_t ended_ms;
@@ -111,6 +112,7 @@
 {
 	struct sim_end *e = data;
 
+	g_free(e->gang);
 	g_free(e->name);
 	g_free(e);
 }
@@ -142,11 +144,19 @@
 	return h;
 }
 
-/* The failures of all members of a gang count together. */
+/* Returns true the first time for a run of a gang. */
+static bool add_run(GHashTable *runs, const char *gang, uint32_t run)
+{
+	return g_hash_table_add(runs, g_strdup_printf("%s/%u", gang, run));
+}
+
+/* A run of a gang counts once, however many of its members fail. */
 static void note_failure(struct sim *s, const struct sim_task *t)
 {
 	struct sim_job *job = job_of_task(s, t->name);
 
+	if (t->gang && !add_run(s->failed_runs, t->gang, t->run))
+		return;
 	if (count_up(s->listed_failures, t->gang ? t->gang : t->name) >= job->attempts)
 		job->has_failed_often = true;
 }
@@ -157,6 +167,7 @@
 
 	e->seq = r->next_end_seq++;
 	e->name = g_strdup(t->name);
+	e->gang = g_strdup(t->gang);
 	e->run = t->run;
 	e->end = how;
 	e->ended_ms = s->now_ms;
@@ -266,6 +277,16 @@
 	return false;
 }
 
+/* How the other members of a gang end if one of them ends so. */
+static enum run_end end_of_others(struct sim *s, enum run_end how)
+{
+	if (how == END_DONE)
+		return END_DONE;
+	return s->conf->gang_fails_milli && sim_chance(s, s->conf->gang_fails_milli)
+		       ? END_FAILED
+		       : END_GANG_BROKEN;
+}
+
 static void advance_runner(struct sim *s, struct sim_runner *r)
 {
 	if (crash_if_due(s, r))
@@ -290,7 +311,7 @@
 		gang = g_strdup(t->gang);
 		end_task(s, r, i - 1, t->stopping && !t->ends_itself ? END_STOPPED : how);
 		if (gang)
-			end_gang(s, gang, run, how == END_DONE ? END_DONE : END_GANG_BROKEN);
+			end_gang(s, gang, run, end_of_others(s, how));
 		i = MIN(i, r->task->len + 1);
 	}
 }
@@ -384,6 +405,10 @@
 	} else if (e->end == END_FAILED && r->lapsed_ms <= e->ended_ms) {
 		g_array_append_val(h->failed_ms, e->ended_ms);
 		check_attempts(s, e->name);
+		if (!e->gang || !add_run(s->noted_runs, e->gang, e->run))
+			return;
+		g_array_append_val(history_of(s, e->gang)->failed_ms, e->ended_ms);
+		check_attempts(s, e->gang);
 	}
 }
 
@@ -477,6 +502,10 @@
 		sim_violation(s, &s->result->reruns, "start after its end", o->task);
 	history_of(s, o->task)->last_start_ms = s->now_ms;
 	check_attempts(s, o->task);
+	if (o->gang) {
+		history_of(s, o->gang)->last_start_ms = s->now_ms;
+		check_attempts(s, o->gang);
+	}
 	check_crashes(s, o->task);
 	check_cap(s, o);
 	if (job->is_cancelled && s->now_ms - job->cancel_ms > 13000 + LEASE_MS)
--- a/tests/cell/test_sim.c
+++ b/tests/cell/test_sim.c
@@ -50,6 +50,14 @@
 	return c;
 }
 
+/* Gangs whose members often fail together. */
+static struct sim_conf with_failing_gangs(struct sim_conf c)
+{
+	c.gang_milli = 600;
+	c.gang_fails_milli = 700;
+	return c;
+}
+
 static struct sim_conf with_slow_writes(struct sim_conf c)
 {
 	c = with_poison(c, 0);
@@ -253,6 +261,21 @@
 		  teams(with_slow_store(faults(50, 30, 0, 800, 0, 0, 200, 0, 0)), 3000), 8 },
 		{ "teams, all together, with advice",
 		  teams(faults(20, 50, 30, 3000, 2500, 300, 200, 100, 60), 3000), 12 },
+		{ "gangs fail together",
+		  with_failing_gangs(with_poison(faults(100, 0, 0, 0, 0, 0, 0, 50, 0), 0)), 4 },
+		{ "gangs fail together, lost and late orders",
+		  with_failing_gangs(with_poison(faults(100, 50, 30, 0, 0, 0, 0, 50, 0), 30)), 8 },
+		{ "gangs fail together, silent and restarted runners",
+		  with_failing_gangs(restarts(30, 0, 500, 1500)), 8 },
+		{ "gangs fail together, replaced schedulers",
+		  with_failing_gangs(with_poison(faults(100, 30, 0, 800, 0, 0, 0, 50, 0), 0)), 8 },
+		{ "gangs fail together, slow store",
+		  with_failing_gangs(with_slow_writes(faults(100, 30, 0, 1500, 0, 0, 0, 50, 0))),
+		  8 },
+		{ "gangs fail together, all together, with advice",
+		  with_failing_gangs(
+			  with_poison(faults(100, 50, 30, 3000, 2500, 300, 0, 100, 60), 0)),
+		  8 },
 	};
 	uint32_t first = env_number("KW_SIM_FIRST", 1);
 	uint32_t more = env_number("KW_SIM_SEEDS", 0);
