cell: names for the parts of the score of a runner

Cause: the score of a runner added two numbers without names.

Change: constants for interference and for another rack.

Result: no change of behaviour; cell_placement and cell_interference pass.

--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -2,6 +2,9 @@
 #include "headroom.h"
 #include "interference.h"
 
+#define SCORE_INTERFERENCE 2000000
+#define SCORE_OTHER_RACK   1000000 /* more than any difference in fit */
+
 static uint32_t tasks_on_runner(const struct cell_runner *rn, const struct pending_step *ps)
 {
 	uint32_t n = 0;
@@ -87,9 +90,9 @@
 	int64_t score = 0;
 
 	if (interference_is_likely(rn, ps->step->spec))
-		score += 2000000;
+		score += SCORE_INTERFERENCE;
 	if (*ps->step->spec->rack && g_strcmp0(rn->rack, ps->step->spec->rack) != 0)
-		score += 1000000;
+		score += SCORE_OTHER_RACK;
 	score += (free.accel - ps->need.accel) * 10000;
 	score += (free.cpu_milli - ps->need.cpu_milli) * 1000 / MAX(rn->capacity.cpu_milli, 1);
 	return score;
