cell: a task that fails again on its runner puts it into no quarantine

Each failure counted against the runner, so that sound runners were in quarantine for 8 s again and again. It is one of two causes: the other is that such runners are kept busy by other late jobs.

Change: a failure of a task on the runner on which it has failed last doesn't count. A runner on which everything fails still shows by its first failures, as tasks avoid it afterwards.

Evidence: the new test of cell_scheduler fails on the parent commit.

--- a/packages/cell/process/poll.c
+++ b/packages/cell/process/poll.c
@@ -28,6 +28,9 @@
 	if (cell_job_has_ended(j) || cell_job_task_is_done(j, r->task) ||
 	    is_older_than_quarantine(rn, r))
 		return;
+	/* A task that fails again where it has failed before says nothing new of the runner. */
+	if (cell_job_peek_task(j, r->task)->avoid_runner == rn->handle + 1)
+		return;
 	/* If tasks of the job fail on other runners too, it's not the fault of this one. */
 	if (j->failed_runner && j->failed_runner != rn->handle + 1)
 		return;
--- a/tests/cell/test_scheduler.c
+++ b/tests/cell/test_scheduler.c
@@ -459,6 +459,36 @@
 	fixture_destroy(f);
 }
 
+/*
+ * Guards against a sound runner that gets no starts because of one task: each failure of a task
+ * that always fails counted against the only runner that its advisor approves, for up to 16 s.
+ */
+Test(scheduler, a_task_that_fails_again_on_its_runner_puts_it_into_no_quarantine)
+{
+	enum { ATTEMPTS = 4, AVOIDED_MS = 4100 };
+	struct fixture *f = fixture_default(1, 1000);
+
+	fixture_add_queue(f, "often", "desk", 0, ATTEMPTS, 0);
+	fixture_submit(f, fixture_new_job(ID_A, "often", 1, 100));
+	for (uint32_t run = 1; run < ATTEMPTS; run++) {
+		fixture_advance(f, AVOIDED_MS);
+		fixture_ack_batch(f);
+		cr_assert_eq(f->start->len, 1, "run %u", run);
+		fixture_accept_starts(f);
+		fixture_end_run(f, "r0", run, ID_A ".0.0.0", run, END_FAILED);
+		fixture_advance(f, 1);
+		fixture_ack_batch(f);
+		fixture_advance(f, 1);
+		fixture_poll_answer(f, "r0", NULL, 0, NULL, 0);
+	}
+	fixture_submit(f, fixture_new_job(ID_C, "urgent", 1, 100));
+	fixture_advance(f, 1);
+	fixture_ack_batch(f);
+	cr_assert_eq(f->start->len, 1);
+	cr_expect_str_eq(fixture_start_at(f, 0)->task, ID_C ".0.0.0");
+	fixture_destroy(f);
+}
+
 #define QUARANTINES_MAX	   5
 #define QUARANTINE_RUNS	   6
 #define QUARANTINE_STEP_MS 50
