cell: a function without callers goes, a demand is built only when needed

Cause: no_room_count() is called by nothing, and unplaced_is_known() built the demand of each waiting step although only a crowded pool compares it.

Change: the function is removed, the demand is built after the check.

--- a/packages/cell/process/no_room.c
+++ b/packages/cell/process/no_room.c
@@ -44,8 +44,3 @@
 			return true;
 	return false;
 }
-
-uint32_t no_room_count(const struct no_room *n)
-{
-	return n->n;
-}
--- a/packages/cell/process/no_room.h
+++ b/packages/cell/process/no_room.h
@@ -35,7 +35,5 @@
 /* no_room_covers - true if no runner can have room, as the demand is no smaller than a known one.
  */
 bool no_room_covers(const struct no_room *n, const struct demand *d);
-/* no_room_count - number of demands that are kept. */
-uint32_t no_room_count(const struct no_room *n);
 
 #endif
--- a/packages/cell/process/unplaced.c
+++ b/packages/cell/process/unplaced.c
@@ -37,13 +37,14 @@
 bool unplaced_is_known(const struct pass *pass, const struct pending_step *ps)
 {
 	struct pass_pool *pool = ps->pool;
-	struct demand d = demand_of(ps, 0);
+	struct demand d;
 
 	pool->crowded |= pool->unplaced_in_row >= UNPLACED_IN_ROW_MAX;
 	if (!pool->crowded)
 		return false;
 	if (ps->advised && pool->unplaced_advised >= UNPLACED_ADVISED_MAX)
 		return true;
+	d = demand_of(ps, 0);
 	if (no_room_covers(pool->no_room, &d))
 		return true;
 	d.headroom_milli = headroom_milli(ps->job, ps->step, pass->s->queues, pass->s->wall_ms);
