cell: one check for the racks of a gang in one rack

Cause: the prospect of a gang in one rack went through the runners of its rack once for each runner. gang_placement.c had rack_was_tried() for that.

Change: that check is pending_step_is_new_rack() now, and both call it: each rack is examined once. A runner without a rack gives such a gang no prospect any more, as none is placed there.

--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -34,18 +34,6 @@
 	return n == count;
 }
 
-/* Whether a runner before the i-th one is in the same rack. */
-static bool rack_was_tried(const struct pending_step *ps, guint i)
-{
-	const struct cell_runner *rn = ps->candidates->pdata[i];
-
-	for (guint k = 0; k < i; k++)
-		if (g_strcmp0(((const struct cell_runner *)ps->candidates->pdata[k])->rack,
-			      rn->rack) == 0)
-			return true;
-	return false;
-}
-
 static bool find_gang_rack(const struct pass *pass, const struct pending_step *ps, bool ticketed,
 			   struct cell_runner **out)
 {
@@ -54,8 +42,7 @@
 	for (guint i = 0; i < ps->candidates->len; i++) {
 		const struct cell_runner *rn = ps->candidates->pdata[i];
 
-		if (rn->rack && !rack_was_tried(ps, i) &&
-		    find_gang(pass, ps, rn->rack, ticketed, out))
+		if (pending_step_is_new_rack(ps, i) && find_gang(pass, ps, rn->rack, ticketed, out))
 			return true;
 	}
 	return false;
--- a/packages/cell/process/pending_step.c
+++ b/packages/cell/process/pending_step.c
@@ -170,6 +170,17 @@
 	return ps->step->spec->gang ? ps->step->spec->count : 1;
 }
 
+bool pending_step_is_new_rack(const struct pending_step *ps, guint i)
+{
+	const struct cell_runner *rn = ps->candidates->pdata[i];
+
+	for (guint k = 0; rn->rack && k < i; k++)
+		if (!g_strcmp0(((const struct cell_runner *)ps->candidates->pdata[k])->rack,
+			       rn->rack))
+			return false;
+	return rn->rack;
+}
+
 void pending_step_hold_cap(const struct pass *pass, const struct pending_step *ps)
 {
 	struct resources need = team_use_need(ps->step->spec);
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -98,6 +98,9 @@
 				     const struct job_task *task);
 /* pending_step_tasks_at_once - all members of a gang, or one task of another step. */
 uint32_t pending_step_tasks_at_once(const struct pending_step *ps);
+/* pending_step_is_new_rack - true if candidate i is in a rack, and none before it is in that one.
+ */
+bool pending_step_is_new_rack(const struct pending_step *ps, guint i);
 /* pending_step_hold_cap - later steps of the team must not use what its cap has left for this. */
 void pending_step_hold_cap(const struct pass *pass, const struct pending_step *ps);
 
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -143,16 +143,19 @@
 	return places;
 }
 
-/* Stores the rack of the first runner from which on there is room for all tasks in *rack. */
+/* Stores the rack in which there is room for all tasks in *rack; NULL if they may be in any. */
 static bool find_prospect(const struct pass *pass, const struct pending_step *ps, uint32_t count,
 			  const char **rack)
 {
+	*rack = NULL;
+	if (!ps->step->spec->one_rack)
+		return places_in_rack(pass, ps, NULL, count) >= count;
 	for (guint i = 0; i < ps->candidates->len; i++) {
+		if (!pending_step_is_new_rack(ps, i))
+			continue;
 		*rack = ((const struct cell_runner *)ps->candidates->pdata[i])->rack;
 		if (places_in_rack(pass, ps, *rack, count) >= count)
 			return true;
-		if (!ps->step->spec->one_rack)
-			break;
 	}
 	return false;
 }
