--- a/tests/cell/fixture.c
+++ b/tests/cell/fixture.c
@@ -524,19 +524,25 @@
 	return job_table_find(f->jobs, id);
 }
 
-struct fixture *fixture_default(uint32_t runners, int64_t cpu_milli)
+void fixture_start_cell(struct fixture *f, uint32_t runners, uint32_t racks, int64_t cpu_milli,
+			int64_t accel)
 {
-	struct fixture *f = fixture_create();
-
-	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
-	fixture_add_queue(f, "batch", "desk", 2, 3, 0);
 	fixture_start_scheduler(f);
 	for (uint32_t i = 0; i < runners; i++) {
 		g_autofree char *id = g_strdup_printf("r%u", i);
 
-		fixture_add_runner(f, id, "desk", i % 2 ? "rack1" : "rack0", cpu_milli, 0);
+		fixture_add_runner(f, id, "desk", i % racks ? "rack1" : "rack0", cpu_milli, accel);
 	}
 	fixture_poll_all(f);
+}
+
+struct fixture *fixture_default(uint32_t runners, int64_t cpu_milli)
+{
+	struct fixture *f = fixture_create();
+
+	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+	fixture_add_queue(f, "batch", "desk", 2, 3, 0);
+	fixture_start_cell(f, runners, 2, cpu_milli, 0);
 	return f;
 }
 
--- a/tests/cell/fixture.h
+++ b/tests/cell/fixture.h
@@ -121,6 +121,13 @@
 /* fixture_advise - answers the oldest advice request; approved: runners to approve, "" for all. */
 bool fixture_advise(struct fixture *f, const char *approved, int64_t validity_ms);
 struct cell_job *fixture_find_job(struct fixture *f, const char *id);
+/*
+ * fixture_start_cell - creates the scheduler, with runners "r0", "r1", ... of service "desk" that
+ * have answered a poll, in turn in "rack0" and, with two racks, "rack1". Call it after adding
+ * queues.
+ */
+void fixture_start_cell(struct fixture *f, uint32_t runners, uint32_t racks, int64_t cpu_milli,
+			int64_t accel);
 /* fixture_default - with queues "urgent" and "batch", and runners "r0", "r1", ... in two racks. */
 struct fixture *fixture_default(uint32_t runners, int64_t cpu_milli);
 /* fixture_submit_and_start - submits the job and starts all tasks that have room. */
--- a/tests/cell/test_advice.c
+++ b/tests/cell/test_advice.c
@@ -14,13 +14,7 @@
 
 	fixture_add_queue(f, "quick", "desk", 0, 3, 17);
 	fixture_add_queue(f, "slow", "desk", 1, 3, 400);
-	fixture_start_scheduler(f);
-	for (uint32_t i = 0; i < runners; i++) {
-		g_autofree char *id = g_strdup_printf("r%u", i);
-
-		fixture_add_runner(f, id, "desk", "rack0", 1000, 8);
-	}
-	fixture_poll_all(f);
+	fixture_start_cell(f, runners, 1, 1000, 8);
 	return f;
 }
 
--- a/tests/cell/test_placement.c
+++ b/tests/cell/test_placement.c
@@ -306,13 +306,7 @@
 		uint64_t limit = (uint64_t)c->per_step_max * c->jobs * RUNNERS;
 
 		fixture_add_queue(f, "work", "desk", 0, 3, c->advised ? 400 : 0);
-		fixture_start_scheduler(f);
-		for (uint32_t k = 0; k < RUNNERS; k++) {
-			g_autofree char *id = g_strdup_printf("r%u", k);
-
-			fixture_add_runner(f, id, "desk", "rack0", 1000, 0);
-		}
-		fixture_poll_all(f);
+		fixture_start_cell(f, RUNNERS, 1, 1000, 0);
 		for (uint32_t k = 0; k < c->jobs; k++) {
 			g_autofree char *id = g_strdup_printf("%016x", 0xa000 + k);
 			Cell__Job *job = fixture_new_job(id, "work", c->tasks, 600);
@@ -363,13 +357,7 @@
 
 		fixture_add_queue(f, "work", "desk", 0, 3, c->advised ? 400 : 0);
 		fixture_add_queue(f, "small", "desk", 0, 3, 0);
-		fixture_start_scheduler(f);
-		for (uint32_t k = 0; k < RUNNERS; k++) {
-			g_autofree char *id = g_strdup_printf("r%u", k);
-
-			fixture_add_runner(f, id, "desk", "rack0", 1000, 0);
-		}
-		fixture_poll_all(f);
+		fixture_start_cell(f, RUNNERS, 1, 1000, 0);
 		for (uint32_t k = 0; k < MANY; k++) {
 			g_autofree char *id = g_strdup_printf("%016x", 0xa000 + k);
 			Cell__Job *job = fixture_new_job(id, "work", TASKS, c->cpu_milli);
--- a/tests/cell/test_reserve.c
+++ b/tests/cell/test_reserve.c
@@ -50,13 +50,7 @@
 	fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
 	fixture_add_queue(f, "batch", "desk", 2, 3, 0);
 	fixture_add_queue(f, "advised", "desk", 0, 3, 17);
-	fixture_start_scheduler(f);
-	for (uint32_t i = 0; i < RUNNERS; i++) {
-		g_autofree char *id = g_strdup_printf("r%u", i);
-
-		fixture_add_runner(f, id, "desk", i % 2 ? "rack1" : "rack0", CPU_MILLI, ACCEL);
-	}
-	fixture_poll_all(f);
+	fixture_start_cell(f, RUNNERS, 2, CPU_MILLI, ACCEL);
 	return f;
 }
 
