--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -106,7 +106,8 @@
 
 
 class Cell:
-    def __init__(self, folder, shares=(0.25, 0.25, 0.25), runners=2, runner_cpu=64000, attempts=3):
+    def __init__(self, folder, shares=(0.25, 0.25, 0.25), runners=2, runner_cpu=64000, attempts=3,
+                 routes=({"name": "q", "prefix": PREFIX},)):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="kw-review-")
         net = random.randrange(10, 250)
@@ -123,14 +124,15 @@
             for i in range(runners)
         ]
         self.attempts = attempts
+        self.routes = routes
 
     def config(self):
         return {
             "version": 1,
             "routes": [
-                {"name": "q", "host": HOST, "prefix": PREFIX, "kind": "unsafe",
-                 "timeout-ms": 3000, "slo-ms": 1000, "priority": 1, "service": "desk",
-                 "attempts": self.attempts, "stretch": 2.0}
+                {"host": HOST, "kind": "unsafe", "timeout-ms": 3000, "slo-ms": 1000,
+                 "priority": 1, "service": "desk", "attempts": self.attempts, "stretch": 2.0, **r}
+                for r in self.routes
             ],
             "services": [
                 {"name": "desk", "health": "/healthz", "max-conns": 64, "protocol": "h1",
@@ -238,8 +240,8 @@
         finally:
             connection.close()
 
-    async def submit(self, vm, job, steps, spec="200", timeout_s=3.0):
-        return await self.call(vm, "POST", PREFIX + job, {"spec": spec, "steps": steps}, timeout_s)
+    async def submit(self, vm, job, steps, spec="200", timeout_s=3.0, prefix=PREFIX):
+        return await self.call(vm, "POST", prefix + job, {"spec": spec, "steps": steps}, timeout_s)
 
     async def end(self):
         for vm in self.vms:
--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -265,7 +265,7 @@
         self.broken = False
 
     def worked_ms(self):
-        return self.resumed_ms + (now_ms() - self.begun_ms if self.begun_ms else 0)
+        return self.resumed_ms + int(now_ms() - self.begun_ms if self.begun_ms else 0)
 
 
 class Gangs:
@@ -320,6 +320,7 @@
         self.up = False
         self.history = []  # (time ms, what, task, run), of all incarnations
         self.started = []  # (task, run, checkpoint), of all incarnations
+        self.slow = 1  # work takes this many times as long
 
     def reset(self):
         self.born = int(time.time() * 1000)
@@ -404,9 +405,14 @@
         return run.saved
 
     async def work(self):
+        before = now_ms()
         while True:
             await asyncio.sleep(0.01)
             now = now_ms()
+            for run in self.running.values():
+                if run.begun_ms:
+                    run.begun_ms += (now - max(before, run.begun_ms)) * (1 - 1 / self.slow)
+            before = now
             for task, run in list(self.running.items()):
                 if self.clock() > self.lease_ms:
                     self.end(task, "lapsed")
