Review cases read TROUBLE themselves

Cause: the variable was read in the shared stand-ins only, so a reader of a case did not see how it runs without the disruption.

No product code is changed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -77,4 +77,5 @@
     return None
 
 
-play(main, FOLDER)
+# TROUBLE=0 does the same without the disruption.
+play(main, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec python3 -B "$(dirname "$0")/case.py"
+# TROUBLE=0: the same without the disruption.
+TROUBLE="${TROUBLE:-1}" exec python3 -B "$(dirname "$0")/case.py"
--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -259,9 +259,8 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def play(main, folder):
+def play(main, folder, trouble):
     """Runs main(cell factory, trouble): exits with 1 if it returns a broken rule, 0 if not."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     cells = []
 
     def create(**conf):
