Drop orders that the scheduler has given up

Cause: relay_handle_order() executes an order whatever its age, while its scheduler gives it up 250 ms after the time-out and goes on. A restarted runner has no fence until its first poll, so it takes such a start. The VM could not know better: neither the age of a message nor the pause of its own process tells when an order was sent.

Change: VMs send their monotonic clock in the hello and in the echo of heartbeats. The scheduler keeps a lower bound of the offset, and an order names the time at which it is given up on the VM's clock. Expired orders are dropped with a log line, and calls to runners end when their order does. VMs of earlier releases send no clock: their orders have no expiry.

Ruled out: an expiry by the age of the message alone (a link may have delayed it), and by the pause of the process (the same).

--- a/packages/node/connection/linkpeers.c
+++ b/packages/node/connection/linkpeers.c
@@ -9,6 +9,7 @@
 
 #define MORE_CPU_RATIO_MILLI 1400 /* a smaller gain is not worth a handover */
 #define ADVICE_TIMEOUT_MS    3500 /* longer than the advisor takes for a node's queue of requests */
+#define CLOCK_DRIFT_MILLI    20	  /* by which two monotonic clocks may differ in rate: 2% */
 
 /* A node that is linked to this one. */
 struct peer {
@@ -21,6 +22,9 @@
 	uint64_t load_us;      /* estimated time of its outstanding requests */
 	int64_t last_heard_ms; /* last message received, or when it connected */
 	int64_t heartbeat_sent_ms;
+	bool clock_known;
+	int64_t clock_ahead_ms; /* of its clock before this node's, at the least */
+	int64_t clock_read_ms;	/* when that was learnt */
 	guint drop_source;
 };
 
@@ -108,6 +112,32 @@
 	}
 }
 
+static int64_t clock_ahead_ms(const struct peer *p, int64_t now_ms)
+{
+	return p->clock_ahead_ms - (now_ms - p->clock_read_ms) * CLOCK_DRIFT_MILLI / 1000;
+}
+
+/* A message that was delayed shows less than the clock does, so the fastest one counts. */
+static void note_clock(struct peer *p, int64_t clock_ms)
+{
+	int64_t now_ms = node_now_ms();
+
+	if (clock_ms <= 0 || clock_ms > JOB_TIME_MAX_MS)
+		return;
+	if (p->clock_known && clock_ms - now_ms < clock_ahead_ms(p, now_ms))
+		return;
+	p->clock_known = true;
+	p->clock_ahead_ms = clock_ms - now_ms;
+	p->clock_read_ms = now_ms;
+}
+
+int64_t links_peer_clock_ms(const struct peer *p, int64_t at_ms)
+{
+	if (!p->clock_known)
+		return 0;
+	return MAX(at_ms + clock_ahead_ms(p, node_now_ms()), 1);
+}
+
 static void handle_hello(struct peer *p, const Cell__LinkHello *m)
 {
 	struct links *l = p->links;
@@ -117,6 +147,7 @@
 	g_free(p->dc);
 	p->dc = g_strdup(m->dc);
 	p->cpu_milli = m->cpu_milli;
+	note_clock(p, m->clock_ms);
 	link_set_frame_max(p->link, LINKS_FRAME_MAX_BYTES);
 	log_info("accept", p->name, "linked");
 	l->ops->peer_named(l->ctx, p->name);
@@ -169,7 +200,9 @@
 		handle_advice_reply(p, e->advice_reply);
 	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_ASK)
 		handle_append(p, e->append_ask);
-	else if (e->body_case != KW__ENVELOPE__BODY_LEAD_BEAT)
+	else if (e->body_case == KW__ENVELOPE__BODY_LEAD_BEAT)
+		note_clock(p, e->lead_beat->clock_ms);
+	else
 		p->links->ops->order_replied(p->links->ctx, p, e);
 }
 
--- a/packages/node/connection/links.h
+++ b/packages/node/connection/links.h
@@ -138,6 +138,11 @@
  * none; valid until the loop runs.
  */
 const char *links_larger_peer(const struct links *l);
+/*
+ * links_peer_clock_ms - what the peer's monotonic clock shows at at_ms of this node's, or less by
+ * the transit time of its fastest recent message; 0 if the peer doesn't send its clock.
+ */
+int64_t links_peer_clock_ms(const struct peer *p, int64_t at_ms);
 /*
  * links_send_order - returns false if the message could not be queued. The peer stays linked if
  * only the frames to all peers together are too many.
--- a/packages/node/connection/uplink.c
+++ b/packages/node/connection/uplink.c
@@ -80,12 +80,18 @@
 		c.append_fn(c.ctx, STORE_UNKNOWN, 0);
 }
 
-/* The echo tells the scheduler that this node is reachable. */
-static void handle_heartbeat(struct links *l, const Kw__Envelope *e)
+/* The echo tells the scheduler that this node is reachable, and what its clock shows. */
+static void handle_heartbeat(struct links *l, const Cell__LeadBeat *beat)
 {
-	if (e->lead_beat->renewed)
-		l->scheduler_heard_ms = node_now_ms();
-	link_send(l->uplink, e, 0);
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LeadBeat echo = *beat;
+
+	echo.clock_ms = node_now_ms();
+	if (beat->renewed)
+		l->scheduler_heard_ms = echo.clock_ms;
+	e.body_case = KW__ENVELOPE__BODY_LEAD_BEAT;
+	e.lead_beat = &echo;
+	link_send(l->uplink, &e, 0);
 }
 
 static void on_uplink_message(void *ctx, struct link *link, const Kw__Envelope *e, uint32_t size)
@@ -97,7 +103,7 @@
 	else if (e->body_case == KW__ENVELOPE__BODY_APPEND_REPLY)
 		handle_append_reply(l, e->append_reply);
 	else if (e->body_case == KW__ENVELOPE__BODY_LEAD_BEAT)
-		handle_heartbeat(l, e);
+		handle_heartbeat(l, e->lead_beat);
 	else if (e->body_case == KW__ENVELOPE__BODY_ADVICE_ASK)
 		l->ops->advice_requested(
 			l->ctx, l->uplink_number, e->advice_ask->call, e->advice_ask->step,
@@ -127,6 +133,7 @@
 	m.term = l->term;
 	m.dc = l->dc;
 	m.cpu_milli = l->cpu_milli;
+	m.clock_ms = node_now_ms();
 	e.body_case = KW__ENVELOPE__BODY_LINK_HELLO;
 	e.link_hello = &m;
 	link_send(l->uplink, &e, 0);
--- a/packages/node/process/relay.c
+++ b/packages/node/process/relay.c
@@ -1,3 +1,6 @@
+#define G_LOG_DOMAIN "relay"
+
+#include "log.h"
 #include "relay.h"
 
 #define REPLY_SLACK_MS 250 /* for the relaying node's reply, after its own timeout of the order */
@@ -37,20 +40,27 @@
 	uint64_t call;
 };
 
-/* Returns NULL if no node can carry the order. */
+/*
+ * expires_ms: field of the message in e that gets the time, on the clock of the node that carries
+ * the order, at which it is given up here. Returns NULL if no node can carry it.
+ */
 static struct sent_order *send_order(struct relay *r, const struct route *route, const char *runner,
-				     const Kw__Envelope *e, enum order_kind kind,
-				     uint32_t timeout_ms, void *ctx)
+				     const Kw__Envelope *e, int64_t *expires_ms,
+				     enum order_kind kind, uint32_t timeout_ms, void *ctx)
 {
 	struct peer *p = links_pick_peer(r->links, route->dc, runner, route->attempt);
+	int64_t deadline_ms = node_now_ms() + timeout_ms + REPLY_SLACK_MS;
 	struct sent_order *o;
 
-	if (!p || !links_send_order(p, e))
+	if (!p)
+		return NULL;
+	*expires_ms = links_peer_clock_ms(p, deadline_ms);
+	if (!links_send_order(p, e))
 		return NULL;
 	o = g_new0(struct sent_order, 1);
 	o->kind = kind;
 	o->peer = p;
-	o->deadline_ms = node_now_ms() + timeout_ms + REPLY_SLACK_MS;
+	o->deadline_ms = deadline_ms;
 	o->ctx = ctx;
 	g_hash_table_insert(r->sent, GUINT_TO_POINTER(r->next_call), o);
 	return o;
@@ -78,7 +88,8 @@
 	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_START_ORDER;
 	e.start_order = &m;
-	o = send_order(r, &order->route, order->runner, &e, ORDER_START, order->timeout_ms, ctx);
+	o = send_order(r, &order->route, order->runner, &e, &m.expires_ms, ORDER_START,
+		       order->timeout_ms, ctx);
 	if (o)
 		o->fn.started = fn;
 	else
@@ -100,7 +111,7 @@
 	m.run = run;
 	e.body_case = KW__ENVELOPE__BODY_STOP_ORDER;
 	e.stop_order = &m;
-	o = send_order(r, route, runner, &e, ORDER_STOP, STOP_TIMEOUT_MS, ctx);
+	o = send_order(r, route, runner, &e, &m.expires_ms, ORDER_STOP, STOP_TIMEOUT_MS, ctx);
 	if (o)
 		o->fn.stopped = fn;
 	else
@@ -124,7 +135,8 @@
 	m.timeout_ms = order->timeout_ms;
 	e.body_case = KW__ENVELOPE__BODY_LOOK_ORDER;
 	e.look_order = &m;
-	o = send_order(r, &order->route, order->runner, &e, ORDER_POLL, order->timeout_ms, ctx);
+	o = send_order(r, &order->route, order->runner, &e, &m.expires_ms, ORDER_POLL,
+		       order->timeout_ms, ctx);
 	if (o)
 		o->fn.polled = fn;
 	else
@@ -354,40 +366,83 @@
 	return *text ? text : NULL;
 }
 
-void relay_handle_order(struct relay *r, uint64_t link, const Kw__Envelope *e)
+/*
+ * An order may wait for seconds while this process is paused or the link is slow. Its scheduler has
+ * given it up then, and has gone on: a runner that has restarted meanwhile has no memory of the run
+ * and would execute it again, or would forget ends that nobody has read.
+ */
+static bool has_expired(int64_t expires_ms, const char *kind, const char *runner, const char *task)
+{
+	int64_t late_ms = node_now_ms() - expires_ms;
+
+	if (!expires_ms || late_ms < 0)
+		return false;
+	log_request(LOG_INFO, task, "order", runner,
+		    "%s not executed: the scheduler gave it up %" G_GINT64_FORMAT " ms ago", kind,
+		    late_ms);
+	return true;
+}
+
+/* The call may not reach the runner after the order has expired. */
+static uint32_t call_timeout_ms(uint32_t timeout_ms, int64_t expires_ms)
+{
+	if (!expires_ms)
+		return timeout_ms;
+	return (uint32_t)CLAMP(expires_ms - node_now_ms(), 1, timeout_ms);
+}
+
+static void execute_start(struct relay *r, uint64_t link, const Cell__StartOrder *m)
+{
+	const struct start_order order = {
+		.runner = m->runner,
+		.address = m->address,
+		.task = m->task,
+		.payload = m->payload,
+		.ticket = null_if_empty(m->ticket),
+		.checkpoint = null_if_empty(m->checkpoint),
+		.run = m->run,
+		.deadline_ms = m->deadline_ms,
+		.timeout_ms = call_timeout_ms(m->timeout_ms, m->expires_ms),
+	};
+
+	r->runners.ops->start(r->runners.impl, &order, m->term, on_started,
+			      received_order_create(r, link, m->call));
+}
+
+static void execute_poll(struct relay *r, uint64_t link, const Cell__LookOrder *m)
 {
-	const struct runner_ops *ops = r->runners.ops;
+	const struct poll_order order = {
+		.runner = m->runner,
+		.address = m->address,
+		.deadline_ms = m->deadline_ms,
+		.acked_end = m->seen,
+		.wait_ms = m->wait_ms,
+		.timeout_ms = call_timeout_ms(m->timeout_ms, m->expires_ms),
+	};
+
+	r->runners.ops->poll(r->runners.impl, &order, m->term, on_polled,
+			     received_order_create(r, link, m->call));
+}
 
+void relay_handle_order(struct relay *r, uint64_t link, const Kw__Envelope *e)
+{
 	if (e->body_case == KW__ENVELOPE__BODY_START_ORDER) {
 		const Cell__StartOrder *m = e->start_order;
-		struct start_order order = { .runner = m->runner,
-					     .address = m->address,
-					     .task = m->task,
-					     .payload = m->payload,
-					     .ticket = null_if_empty(m->ticket),
-					     .checkpoint = null_if_empty(m->checkpoint),
-					     .run = m->run,
-					     .deadline_ms = m->deadline_ms,
-					     .timeout_ms = m->timeout_ms };
-
-		ops->start(r->runners.impl, &order, m->term, on_started,
-			   received_order_create(r, link, m->call));
+
+		if (!has_expired(m->expires_ms, "start", m->runner, m->task))
+			execute_start(r, link, m);
 	} else if (e->body_case == KW__ENVELOPE__BODY_STOP_ORDER) {
 		const Cell__StopOrder *m = e->stop_order;
 
-		ops->stop(r->runners.impl, m->runner, m->address, m->task, m->run, m->term,
-			  on_stopped, received_order_create(r, link, m->call));
+		if (!has_expired(m->expires_ms, "stop", m->runner, m->task))
+			r->runners.ops->stop(r->runners.impl, m->runner, m->address, m->task,
+					     m->run, m->term, on_stopped,
+					     received_order_create(r, link, m->call));
 	} else if (e->body_case == KW__ENVELOPE__BODY_LOOK_ORDER) {
 		const Cell__LookOrder *m = e->look_order;
-		struct poll_order order = { .runner = m->runner,
-					    .address = m->address,
-					    .deadline_ms = m->deadline_ms,
-					    .acked_end = m->seen,
-					    .wait_ms = m->wait_ms,
-					    .timeout_ms = m->timeout_ms };
-
-		ops->poll(r->runners.impl, &order, m->term, on_polled,
-			  received_order_create(r, link, m->call));
+
+		if (!has_expired(m->expires_ms, "poll", m->runner, NULL))
+			execute_poll(r, link, m);
 	}
 }
 
--- a/packages/node/process/relay.h
+++ b/packages/node/process/relay.h
@@ -10,7 +10,8 @@
  * only talks to the nodes. Without a linked node it calls the runners itself.
  *
  * A node that does not answer in time, or whose link is lost, counts as a runner that does not
- * answer.
+ * answer. It doesn't execute an order that the scheduler has given up by then: each order says when
+ * that is, on the clock of the node, which the scheduler knows from its heartbeats.
  */
 struct relay;
 
--- a/packages/wire/cell.pb-c.c
+++ b/packages/wire/cell.pb-c.c
@@ -2203,7 +2203,7 @@
   (ProtobufCMessageInit) cell__lead__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cell__link_hello__field_descriptors[5] =
 {
   {
     "node",
@@ -2253,8 +2253,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LinkHello, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__link_hello__field_indices_by_name[] = {
+  4,   /* field[4] = clock_ms */
   3,   /* field[3] = cpu_milli */
   2,   /* field[2] = dc */
   0,   /* field[0] = node */
@@ -2264,7 +2277,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cell__link_hello__descriptor =
 {
@@ -2274,14 +2287,14 @@
   "Cell__LinkHello",
   "cell",
   sizeof(Cell__LinkHello),
-  4,
+  5,
   cell__link_hello__field_descriptors,
   cell__link_hello__field_indices_by_name,
   2,  cell__link_hello__number_ranges,
   (ProtobufCMessageInit) cell__link_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__lead_beat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cell__lead_beat__field_descriptors[3] =
 {
   {
     "term",
@@ -2307,15 +2320,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LeadBeat, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__lead_beat__field_indices_by_name[] = {
+  2,   /* field[2] = clock_ms */
   1,   /* field[1] = renewed */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange cell__lead_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cell__lead_beat__descriptor =
 {
@@ -2325,7 +2351,7 @@
   "Cell__LeadBeat",
   "cell",
   sizeof(Cell__LeadBeat),
-  2,
+  3,
   cell__lead_beat__field_descriptors,
   cell__lead_beat__field_indices_by_name,
   1,  cell__lead_beat__number_ranges,
@@ -2639,7 +2665,7 @@
   (ProtobufCMessageInit) cell__advice_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__start_order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cell__start_order__field_descriptors[12] =
 {
   {
     "call",
@@ -2773,12 +2799,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expires_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StartOrder, expires_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__start_order__field_indices_by_name[] = {
   3,   /* field[3] = address */
   0,   /* field[0] = call */
   7,   /* field[7] = checkpoint */
   9,   /* field[9] = deadline_ms */
+  11,   /* field[11] = expires_ms */
   5,   /* field[5] = payload */
   8,   /* field[8] = run */
   2,   /* field[2] = runner */
@@ -2790,7 +2829,7 @@
 static const ProtobufCIntRange cell__start_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cell__start_order__descriptor =
 {
@@ -2800,7 +2839,7 @@
   "Cell__StartOrder",
   "cell",
   sizeof(Cell__StartOrder),
-  11,
+  12,
   cell__start_order__field_descriptors,
   cell__start_order__field_indices_by_name,
   1,  cell__start_order__number_ranges,
@@ -2858,7 +2897,7 @@
   (ProtobufCMessageInit) cell__start_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__stop_order__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cell__stop_order__field_descriptors[7] =
 {
   {
     "call",
@@ -2932,10 +2971,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expires_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__StopOrder, expires_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__stop_order__field_indices_by_name[] = {
   3,   /* field[3] = address */
   0,   /* field[0] = call */
+  6,   /* field[6] = expires_ms */
   5,   /* field[5] = run */
   2,   /* field[2] = runner */
   4,   /* field[4] = task */
@@ -2944,7 +2996,7 @@
 static const ProtobufCIntRange cell__stop_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cell__stop_order__descriptor =
 {
@@ -2954,7 +3006,7 @@
   "Cell__StopOrder",
   "cell",
   sizeof(Cell__StopOrder),
-  6,
+  7,
   cell__stop_order__field_descriptors,
   cell__stop_order__field_indices_by_name,
   1,  cell__stop_order__number_ranges,
@@ -3012,7 +3064,7 @@
   (ProtobufCMessageInit) cell__stop_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cell__look_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cell__look_order__field_descriptors[9] =
 {
   {
     "call",
@@ -3110,11 +3162,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expires_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cell__LookOrder, expires_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cell__look_order__field_indices_by_name[] = {
   3,   /* field[3] = address */
   0,   /* field[0] = call */
   4,   /* field[4] = deadline_ms */
+  8,   /* field[8] = expires_ms */
   2,   /* field[2] = runner */
   5,   /* field[5] = seen */
   1,   /* field[1] = term */
@@ -3124,7 +3189,7 @@
 static const ProtobufCIntRange cell__look_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cell__look_order__descriptor =
 {
@@ -3134,7 +3199,7 @@
   "Cell__LookOrder",
   "cell",
   sizeof(Cell__LookOrder),
-  8,
+  9,
   cell__look_order__field_descriptors,
   cell__look_order__field_indices_by_name,
   1,  cell__look_order__number_ranges,
--- a/packages/wire/cell.pb-c.h
+++ b/packages/wire/cell.pb-c.h
@@ -266,10 +266,14 @@
    * CPU share of the sender's VM; the node with the largest is the preferred scheduler.
    */
   uint32_t cpu_milli;
+  /*
+   * Monotonic clock of the sender. Older releases don't send it.
+   */
+  int64_t clock_ms;
 };
 #define CELL__LINK_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__link_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -283,10 +287,14 @@
    * The scheduler's renewals of its lease reach the store.
    */
   protobuf_c_boolean renewed;
+  /*
+   * In the echo: monotonic clock of the node that echoes. Older releases don't send it.
+   */
+  int64_t clock_ms;
 };
 #define CELL__LEAD_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__lead_beat__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Cell__StateAsk
@@ -354,7 +362,8 @@
 
 
 /*
- * Calls to runners that the scheduler makes through another daemon.
+ * Calls to runners that the scheduler makes through another daemon. `expires_ms` is the time on that
+ * daemon's monotonic clock from which the scheduler has given the order up; 0 if it isn't known.
  */
 struct  Cell__StartOrder
 {
@@ -370,10 +379,11 @@
   uint32_t run;
   int64_t deadline_ms;
   uint32_t timeout_ms;
+  int64_t expires_ms;
 };
 #define CELL__START_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__start_order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Cell__StartReply
@@ -396,10 +406,11 @@
   char *address;
   char *task;
   uint32_t run;
+  int64_t expires_ms;
 };
 #define CELL__STOP_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__stop_order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cell__StopReply
@@ -424,10 +435,11 @@
   uint64_t seen;
   uint32_t wait_ms;
   uint32_t timeout_ms;
+  int64_t expires_ms;
 };
 #define CELL__LOOK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cell__look_order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Cell__RunningTask
--- a/tests/node/test_links.c
+++ b/tests/node/test_links.c
@@ -539,3 +539,103 @@
 		endpoint_close(&a);
 	}
 }
+
+/* A node whose clock shows something else, and which keeps the last start that it receives. */
+struct odd_clock {
+	int64_t ahead_ms; /* of the scheduler's clock */
+	uint32_t received;
+	int64_t expires_ms;
+	struct link *link;
+};
+
+static void keep_start(void *ctx, struct link *l, const Kw__Envelope *e, uint32_t size)
+{
+	struct odd_clock *c = ctx;
+
+	if (e->body_case != KW__ENVELOPE__BODY_START_ORDER)
+		return;
+	c->received++;
+	c->expires_ms = e->start_order->expires_ms;
+}
+
+/* Sends the clock as it was delay_ms ago. */
+static void send_clock(const struct odd_clock *c, int64_t delay_ms)
+{
+	Kw__Envelope e = KW__ENVELOPE__INIT;
+	Cell__LeadBeat beat = CELL__LEAD_BEAT__INIT;
+
+	beat.clock_ms = fake_now_ms + c->ahead_ms - delay_ms;
+	e.body_case = KW__ENVELOPE__BODY_LEAD_BEAT;
+	e.lead_beat = &beat;
+	cr_assert_gt(link_send(c->link, &e, 0), 0);
+	for (int i = 0; i < 600; i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+}
+
+static void ignore_started(void *ctx, enum start_result result)
+{
+}
+
+/* Returns how long the node may execute a start that is sent now; INT64_MAX without a limit. */
+static int64_t validity_of_start(struct endpoint *a, struct odd_clock *c)
+{
+	const struct start_order order = { .route = { .dc = "dc" },
+					   .runner = "r",
+					   .address = "x:1",
+					   .task = "t",
+					   .payload = "",
+					   .run = 1,
+					   .timeout_ms = 200 };
+	uint32_t received = c->received;
+	int64_t sent_ms = fake_now_ms;
+
+	relay_start(a->relay, &order, 9, ignore_started, NULL);
+	endpoint_run_until(&c->received, received + 1);
+	return c->expires_ms ? c->expires_ms - c->ahead_ms - sent_ms : INT64_MAX;
+}
+
+/*
+ * Guards against an age of orders that holds only on machines with a common clock, or that becomes
+ * longer or shorter with the delay of single messages: expired orders are executed then, or orders
+ * in time are not.
+ */
+Test(links, orders_expire_on_the_clock_of_the_node)
+{
+	static const struct link_ops ops = { .message = keep_start, .closed = ignore_closed };
+	static const int64_t ahead_ms[] = { 0, 5, 1000000, 1 - 100000 };
+	const int64_t given_up_ms = 450;
+
+	fake_now_ms = 200000;
+	for (size_t i = 0; i < G_N_ELEMENTS(ahead_ms); i++) {
+		g_autoptr(GSocketClient) client = g_socket_client_new();
+		g_autoptr(GSocketConnection) conn = NULL;
+		struct odd_clock c = { .ahead_ms = ahead_ms[i] };
+		struct endpoint a = { 0 };
+		int64_t valid_ms;
+
+		endpoint_open(&a, "a");
+		conn = g_socket_client_connect_to_host(client, "127.0.0.1", endpoint_listen(&a),
+						       NULL, NULL);
+		cr_assert_not_null(conn);
+		c.link = link_create(conn, &silent_conf, &ops, &c);
+		send_hello(c.link, "b/1", 250);
+		endpoint_run_until(&a.peers, 1);
+		cr_expect_eq(validity_of_start(&a, &c), INT64_MAX, "a node without a clock");
+		send_clock(&c, 300);
+		valid_ms = validity_of_start(&a, &c);
+		cr_expect(valid_ms <= given_up_ms && valid_ms >= given_up_ms - 302, "%d",
+			  (int)valid_ms);
+		send_clock(&c, 0);
+		valid_ms = validity_of_start(&a, &c);
+		cr_expect(valid_ms <= given_up_ms && valid_ms >= given_up_ms - 2, "%d",
+			  (int)valid_ms);
+		send_clock(&c, 400);
+		valid_ms = validity_of_start(&a, &c);
+		cr_expect(valid_ms <= given_up_ms && valid_ms >= given_up_ms - 4,
+			  "a delayed message: %d", (int)valid_ms);
+		link_destroy(c.link);
+		endpoint_close(&a);
+	}
+}
--- a/tests/node/test_relay.c
+++ b/tests/node/test_relay.c
@@ -420,3 +420,120 @@
 		endpoint_close(&b[i]);
 	endpoint_close(&a);
 }
+
+/* A runner that counts the orders that reach it; it has no memory of earlier ones. */
+struct counting_runner {
+	uint32_t started;
+	uint32_t stopped;
+	uint32_t polled;
+	uint32_t timeout_ms; /* of the last start or poll */
+};
+
+static void count_start(void *impl, const struct start_order *o, uint64_t term, started_fn fn,
+			void *ctx)
+{
+	struct counting_runner *c = impl;
+
+	c->started++;
+	c->timeout_ms = o->timeout_ms;
+	fn(ctx, START_OK);
+}
+
+static void count_stop(void *impl, const char *runner, const char *address, const char *task,
+		       uint32_t run, uint64_t term, stopped_fn fn, void *ctx)
+{
+	((struct counting_runner *)impl)->stopped++;
+	fn(ctx, true);
+}
+
+static void count_poll(void *impl, const struct poll_order *o, uint64_t term, polled_fn fn,
+		       void *ctx)
+{
+	struct counting_runner *c = impl;
+
+	c->polled++;
+	c->timeout_ms = o->timeout_ms;
+	fn(ctx, NULL);
+}
+
+static const struct runner_ops counting_ops = { .start = count_start,
+						.stop = count_stop,
+						.poll = count_poll };
+
+static void on_stopped(void *ctx, bool answered)
+{
+	((struct reply *)ctx)->n++;
+}
+
+struct held_case {
+	const char *what;
+	int64_t held_ms;
+	uint32_t started;
+	uint32_t stopped;
+	uint32_t polled;
+};
+
+/*
+ * Guards against orders that a node executes after its process was paused, or that a link has
+ * delayed: a runner that had restarted meanwhile executed starts of tasks that had ended, and polls
+ * made it forget ends that nobody had read. A node that is only slow has to execute them.
+ */
+Test(relay, orders_held_until_the_scheduler_gave_them_up_are_not_executed)
+{
+	static const struct poll_order poll = {
+		.route = { .dc = "dc" }, .runner = "r", .address = "x:1", .timeout_ms = 1200
+	};
+	static const struct held_case cases[] = {
+		{ "at once", 0, 1, 1, 1 },
+		{ "a slow node", 400, 1, 1, 1 },
+		{ "the start was given up", 450, 0, 1, 1 },
+		{ "start and stop were given up", 850, 0, 0, 1 },
+		{ "all were given up", 1450, 0, 0, 0 },
+		{ "a pause", 4000, 0, 0, 0 },
+		{ "a long pause", 60000, 0, 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct counting_runner c = { 0 };
+		const struct runner_client runners = { .ops = &counting_ops, .impl = &c };
+		struct endpoint a = { 0 };
+		struct endpoint b = { .runners = &runners };
+		struct reply r = { 0 };
+
+		endpoint_connect_pair(&a, &b);
+		relay_start(a.relay, &order, 9, on_started, &r);
+		relay_stop(a.relay, &order.route, "r", "x:1", "t", 3, 9, on_stopped, &r);
+		relay_poll(a.relay, &poll, 9, on_any_poll, &r);
+		fake_now_ms += cases[i].held_ms;
+		endpoint_run_until(&r.n, 3);
+		run_loop();
+		cr_expect_eq(c.started, cases[i].started, "%s: start", cases[i].what);
+		cr_expect_eq(c.stopped, cases[i].stopped, "%s: stop", cases[i].what);
+		cr_expect_eq(c.polled, cases[i].polled, "%s: poll", cases[i].what);
+		endpoint_close(&b);
+		endpoint_close(&a);
+	}
+}
+
+/* Guards against a call to a runner that is made in time and is sent after the order is given up.
+ */
+Test(relay, calls_to_runners_end_when_their_orders_are_given_up)
+{
+	struct counting_runner c = { 0 };
+	const struct runner_client runners = { .ops = &counting_ops, .impl = &c };
+	struct endpoint a = { 0 };
+	struct endpoint b = { .runners = &runners };
+	struct reply r = { 0 };
+
+	endpoint_connect_pair(&a, &b);
+	relay_start(a.relay, &order, 9, on_started, &r);
+	endpoint_run_until(&r.n, 1);
+	cr_expect_eq(c.timeout_ms, 200);
+	relay_start(a.relay, &order, 9, on_started, &r);
+	fake_now_ms += 430;
+	endpoint_run_until(&c.started, 2);
+	cr_expect_leq(c.timeout_ms, 20);
+	cr_expect_gt(c.timeout_ms, 0);
+	endpoint_close(&b);
+	endpoint_close(&a);
+}
