--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -7,14 +7,15 @@
 #include "flood.h"
 #include "rawserver.h"
 
-#define TIMEOUT_MS   2000
-#define LARGE_BYTES  33554432
-#define SILENCE_MS   150
-#define TEXT(status) "HTTP/1.1 " status "\r\nContent-Length: 2\r\n\r\n{}"
-#define OK	     TEXT("200 OK")
-#define UNAVAILABLE  TEXT("503 Service Unavailable")
-#define CUT_BODY     "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
-#define CUT_CHUNK    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n{}"
+#define TIMEOUT_MS    2000
+#define LARGE_BYTES   33554432
+#define SILENCE_MS    150
+#define HELD_UP_BYTES 200000 /* fit into the buffers of both sockets, not of one */
+#define TEXT(status)  "HTTP/1.1 " status "\r\nContent-Length: 2\r\n\r\n{}"
+#define OK	      TEXT("200 OK")
+#define UNAVAILABLE   TEXT("503 Service Unavailable")
+#define CUT_BODY      "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
+#define CUT_CHUNK     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n{}"
 
 #define CUT_STATUS "HTTP/1.1 200 O"
 #define CUT_HEADER "HTTP/1.1 200 OK\r\nContent-Le"
@@ -351,6 +352,57 @@
 	raw_server_destroy(s);
 }
 
+/*
+ * Guards against calls that a process sends after it was paused, or that the kernel delivers after
+ * they timed out, as behind a link that recovers: a runner executes starts that were given up.
+ */
+Test(client, calls_that_timed_out_are_not_delivered)
+{
+	static const struct raw_step steps[] = { { RAW_ANSWER, OK } };
+	static const struct {
+		const char *name;
+		size_t body_bytes;
+		uint32_t calls_before; /* leave a connection open */
+		int64_t pause_us;      /* before the process runs its loop */
+	} cases[] = {
+		{ "a pause before the connection", 4, 0, 3 * SILENCE_MS * 1000 },
+		{ "a pause before a kept connection is used", 4, 1, 3 * SILENCE_MS * 1000 },
+		{ "data held up", HELD_UP_BYTES, 0, 0 },
+		{ "data held up on a kept connection", HELD_UP_BYTES, 1, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strnfill(cases[i].body_bytes, 'x');
+		g_autoptr(GBytes) body = g_bytes_new_static(text, cases[i].body_bytes);
+		struct raw_server *s = raw_server_create(steps, G_N_ELEMENTS(steps));
+		g_autofree char *address = g_strdup_printf("%s:%u", RAW_HOST, raw_server_port(s));
+		struct client_call order = { .method = "POST",
+					     .address = address,
+					     .path = "/order",
+					     .content_type = "text/plain",
+					     .body = body,
+					     .timeout_ms = SILENCE_MS };
+		struct client *c = client_create();
+		struct exchange x = { 0 };
+
+		for (uint32_t k = 0; k < cases[i].calls_before; k++)
+			call(c, s, raw_server_port(s), "POST", "", TIMEOUT_MS);
+		client_send(c, &order, on_reply, &x);
+		g_usleep(cases[i].pause_us);
+		/* The server isn't served, so it reads nothing until the call has ended. */
+		cr_assert(raw_wait_until(is_answered, &x));
+		cr_expect_eq(x.status, 0);
+		for (uint32_t k = 0; k < 50; k++) {
+			raw_server_serve(s);
+			raw_settle();
+		}
+		cr_expect_eq(raw_server_requests(s), cases[i].calls_before, "%s: delivered",
+			     cases[i].name);
+		client_destroy(c);
+		raw_server_destroy(s);
+	}
+}
+
 #define PART_BYTES	4096
 #define SENT_MAX_BYTES	16777216  /* the limit and what the buffers of both sockets hold */
 #define PEER_MAX_BYTES	268435456 /* stops a test in which the reply is read on */
