Let small jobs start beside a gang that waits for an overdue run

Cause: a gang reserves on all runners that it needs; the wait for room was computed for each runner by itself, so that the room on free runners counted as used at once; and a run past its estimate counted as ending now for 30 s. So nothing was short enough to use the room meanwhile.

Change: the room of a gang may be used by tasks that end before the whole gang is expected to start. A run that has exceeded its estimate is expected to go on for as long again, but no longer than its estimate.

--- a/packages/cell/process/gang_placement.c
+++ b/packages/cell/process/gang_placement.c
@@ -140,11 +140,12 @@
 		advice_request_send(pass, ps, possible);
 	if (crowded || advice_request_is_unanswered(pass, ps))
 		return;
-	pending_step_hold_cap(pass, ps);
+	if (!ps->pool->yields)
+		pending_step_hold_cap(pass, ps);
 	if (preempted)
 		kept = spec->count;
 	else if (ps->advised)
-		kept = reserve_on_approved(ps, spec->count);
+		kept = reserve_on_approved(pass, ps);
 	if (kept < spec->count && reserve_on_freest(pass, ps, spec->count - kept))
 		kept = spec->count;
 	if (kept && !possible && ps->advised)
--- a/packages/cell/process/pending_step.h
+++ b/packages/cell/process/pending_step.h
@@ -18,6 +18,7 @@
 	uint32_t waiting_gangs;
 	uint32_t reserving_steps;  /* steps that have reserved room */
 	uint32_t reserved_runners; /* for steps that wait for room */
+	bool yields;		   /* these leave a part of the pool to others; see hold.h */
 	uint32_t preempt_searches; /* for room that preemption could make */
 	uint32_t preempting_steps; /* steps for which runs were stopped */
 	uint32_t unplaced_in_row;  /* steps in a row without room */
--- a/packages/cell/process/placement.c
+++ b/packages/cell/process/placement.c
@@ -7,6 +7,7 @@
 #include "gang_placement.h"
 #include "isolate.h"
 #include "overdue_steps.h"
+#include "hold.h"
 #include "reserve.h"
 #include "headroom.h"
 #include "step_room.h"
@@ -88,6 +89,9 @@
 		resources_add(&pool->capacity, &rn->capacity);
 		resources_add(&pool->used, &rn->used);
 	}
+	g_hash_table_iter_init(&it, pass->pool);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct pass_pool *)value)->yields = hold_begin_pass(pass->s, value);
 }
 
 /*
--- a/packages/cell/process/reserve.c
+++ b/packages/cell/process/reserve.c
@@ -1,11 +1,13 @@
 #include "preempt.h"
+#include "hold.h"
 #include "job_rank.h"
 #include "reserve.h"
 
-#define RESERVING_STEPS_MAX  2	/* steps of a pool that reserve room while they wait */
-#define BACKFILL_ESTIMATES   2	/* times its estimate that a task may take */
-#define PREEMPTING_STEPS_MAX 6	/* steps of a pool for which runs are stopped in one pass */
-#define PREEMPT_SEARCHES_MAX 12 /* per pool and pass; each search visits all runs of the pool */
+#define RESERVING_STEPS_MAX  2	 /* steps of a pool that reserve room while they wait */
+#define BACKFILL_ESTIMATES   2	 /* times its estimate that a task may take */
+#define WAIT_STEP_MS	     100 /* to which the wait of a gang is known */
+#define PREEMPTING_STEPS_MAX 6	 /* steps of a pool for which runs are stopped in one pass */
+#define PREEMPT_SEARCHES_MAX 12	 /* per pool and pass; each search visits all runs of the pool */
 
 struct fit {
 	struct cell_runner *runner;
@@ -51,7 +53,10 @@
 	}
 }
 
-/* Time until the run should end by the estimate of its step; INT64_MAX for a lasting task. */
+/*
+ * Time until the run should end by the estimate of its step, less than 0 if it should have ended;
+ * INT64_MAX for a lasting task.
+ */
 static int64_t run_left_ms(const struct run *r, int64_t now_ms)
 {
 	int64_t begun_ms = r->confirmed_ms ? r->confirmed_ms : r->planned_ms;
@@ -84,14 +89,28 @@
 	return MIN(pending_step_places(ps, &free), pending_step_spread_left(ps, rn));
 }
 
-static struct resources free_after(const struct cell_runner *rn, int64_t after_ms, int64_t now_ms)
+/*
+ * A run that has exceeded its estimate is expected to go on for as long again. If all estimates are
+ * too short, runs like this one must not follow each other in its room: so at most its estimate.
+ */
+static int64_t expected_left_ms(const struct run *r, int64_t now_ms)
 {
-	struct resources free = cell_runner_free_capacity(rn);
+	int64_t left_ms = run_left_ms(r, now_ms);
+
+	if (left_ms >= 0 || r->stopping)
+		return left_ms;
+	return MIN(MIN(-left_ms, (int64_t)r->spec->estimate_ms), RESERVE_HORIZON_MS);
+}
+
+static struct resources free_after(const struct cell_runner *rn, const struct resources *now,
+				   int64_t after_ms, int64_t now_ms)
+{
+	struct resources free = *now;
 
 	for (guint i = 0; i < rn->runs->len; i++) {
 		const struct run *r = rn->runs->pdata[i];
 
-		if (run_left_ms(r, now_ms) <= after_ms)
+		if (expected_left_ms(r, now_ms) <= after_ms)
 			resources_add(&free, &r->need);
 	}
 	return free;
@@ -110,12 +129,12 @@
 	if (resources_fits(&ps->need, &now))
 		return 0;
 	for (guint i = 0; i < rn->runs->len; i++) {
-		int64_t left_ms = MAX(run_left_ms(rn->runs->pdata[i], pass->s->now_ms), 0);
+		int64_t left_ms = expected_left_ms(rn->runs->pdata[i], pass->s->now_ms);
 		struct resources free;
 
 		if (left_ms >= wait_ms)
 			continue;
-		free = free_after(rn, left_ms, pass->s->now_ms);
+		free = free_after(rn, &now, left_ms, pass->s->now_ms);
 		if (resources_fits(&ps->need, &free))
 			wait_ms = left_ms;
 	}
@@ -167,61 +186,115 @@
 	return find_prospect(pass, ps, count, &rack);
 }
 
-/* Reserves room that is still occupied: shorter tasks may use the rest of it meanwhile. */
-static void reserve_awaited(const struct pass *pass, const struct pending_step *ps,
-			    struct cell_runner *rn)
+/* Whether the runners are expected to have room for `count` tasks of the step after after_ms. */
+static bool have_room_after(const struct pass *pass, const struct pending_step *ps,
+			    const char *rack, uint32_t count, int64_t after_ms)
+{
+	uint32_t places = 0;
+
+	for (guint i = 0; i < ps->candidates->len && places < count; i++) {
+		const struct cell_runner *rn = ps->candidates->pdata[i];
+		struct resources now = rn->capacity;
+		struct resources free;
+
+		if (rack && !is_in_rack(ps, rn, rack))
+			continue;
+		resources_sub(&now, &rn->used);
+		free = free_after(rn, &now, after_ms, pass->s->now_ms);
+		places += MIN(pending_step_places(ps, &free), pending_step_spread_left(ps, rn));
+	}
+	return places >= count;
+}
+
+/* Time until there should be room for all members of a gang. */
+static int64_t gang_wait_ms(const struct pass *pass, const struct pending_step *ps,
+			    const char *rack)
+{
+	int64_t short_ms = -1;
+	int64_t wait_ms = RESERVE_HORIZON_MS;
+
+	while (wait_ms - short_ms > WAIT_STEP_MS) {
+		int64_t middle_ms = (short_ms + wait_ms) / 2;
+
+		if (have_room_after(pass, ps, rack, ps->step->spec->count, middle_ms))
+			wait_ms = middle_ms;
+		else
+			short_ms = middle_ms;
+	}
+	return short_ms < 0 ? 0 : short_ms;
+}
+
+/* Keeps room from later steps, but for tasks that end before it is used. */
+static void reserve_until(struct cell_runner *rn, const struct resources *need, int64_t wait_ms)
 {
-	int64_t wait_ms = room_wait_ms(pass, ps, rn);
 	bool first = !rn->awaited.cpu_milli && !rn->awaited.mem_bytes && !rn->awaited.accel;
 
-	resources_add(&rn->reserved, &ps->need);
-	resources_add(&rn->awaited, &ps->need);
+	resources_add(&rn->reserved, need);
+	resources_add(&rn->awaited, need);
 	rn->awaited_ms = first ? wait_ms : MIN(rn->awaited_ms, wait_ms);
 }
 
-/* Whether room may be reserved on one more runner. */
-static bool may_reserve(const struct pending_step *ps)
+/* Whether a step may reserve room on one more runner if steps have it on `runners` of the pool. */
+static bool may_reserve(const struct pass *pass, const struct pending_step *ps, uint32_t runners)
 {
-	uint32_t max = ps->pool->runners->len * RESERVE_POOL_MILLI / 1000;
+	if (runners < ps->pool->runners->len * RESERVE_POOL_MILLI / 1000)
+		return true;
+	if (ps->pool->yields || (!ps->step->spec->gang && runners > 0))
+		return false;
+	hold_note(pass->s, ps->pool);
+	return true;
+}
+
+/* Runners on which a step reserves room. */
+struct reservation {
+	const struct pass *pass;
+	const struct pending_step *step;
+	GPtrArray *runners; /* that have got a task, of each list the freest first */
+	int64_t wait_ms;    /* of a gang */
+	uint32_t waiting;   /* tasks without reserved room */
+};
 
-	return ps->step->spec->gang || ps->pool->reserved_runners < MAX(max, 1);
+static void reserve_one(struct reservation *r, struct cell_runner *rn)
+{
+	const struct pending_step *ps = r->step;
+
+	reserve_until(rn, &ps->need,
+		      ps->step->spec->gang ? r->wait_ms : room_wait_ms(r->pass, ps, rn));
+	r->waiting--;
 }
 
 /* Reserves room for one more task on each of the runners in turn, the freest first. */
-static uint32_t reserve_one_each(const struct pass *pass, const struct pending_step *ps,
-				 const GPtrArray *runners, uint32_t waiting)
+static void reserve_one_each(struct reservation *r, GPtrArray *runners)
 {
-	uint32_t n = 0;
-
-	for (guint i = 0; i < runners->len && n < waiting && may_reserve(ps); i++) {
-		if (!expected_places(pass, ps, runners->pdata[i]))
+	g_ptr_array_sort(runners, pending_step_by_free);
+	for (guint i = 0; i < runners->len && r->waiting; i++) {
+		if (!expected_places(r->pass, r->step, runners->pdata[i]))
 			continue;
-		ps->pool->reserved_runners++;
-		reserve_awaited(pass, ps, runners->pdata[i]);
-		n++;
+		if (!may_reserve(r->pass, r->step, r->step->pool->reserved_runners))
+			break;
+		r->step->pool->reserved_runners++;
+		reserve_one(r, runners->pdata[i]);
+		g_ptr_array_add(r->runners, runners->pdata[i]);
 	}
-	return n;
 }
 
 /* Reserves room for further members of a gang on runners that have room for one. */
-static uint32_t reserve_more(const struct pass *pass, const struct pending_step *ps,
-			     const GPtrArray *runners, uint32_t waiting)
+static void reserve_more(struct reservation *r)
 {
-	uint32_t n = 0;
-
-	for (guint i = 0; i < runners->len && n < waiting; i++) {
-		uint32_t places = expected_places(pass, ps, runners->pdata[i]);
+	for (guint i = 0; i < r->runners->len && r->waiting; i++) {
+		uint32_t places = expected_places(r->pass, r->step, r->runners->pdata[i]);
 
-		for (uint32_t k = 1; k < places && n < waiting; k++, n++)
-			reserve_awaited(pass, ps, runners->pdata[i]);
+		for (uint32_t k = 1; k < places && r->waiting; k++)
+			reserve_one(r, r->runners->pdata[i]);
 	}
-	return n;
 }
 
 bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting)
 {
 	g_autoptr(GPtrArray) approved = g_ptr_array_new();
 	g_autoptr(GPtrArray) others = g_ptr_array_new();
+	g_autoptr(GPtrArray) runners = g_ptr_array_new();
+	struct reservation r = { .pass = pass, .step = ps, .runners = runners, .waiting = waiting };
 	const char *rack;
 
 	if (ps->pool->reserving_steps >= RESERVING_STEPS_MAX ||
@@ -234,15 +307,13 @@
 		if (is_in_rack(ps, rn, rack))
 			g_ptr_array_add(pending_step_is_approved(ps, rn) ? approved : others, rn);
 	}
-	g_ptr_array_sort(approved, pending_step_by_free);
-	g_ptr_array_sort(others, pending_step_by_free);
+	if (ps->step->spec->gang)
+		r.wait_ms = gang_wait_ms(pass, ps, rack);
 	/* The advisor may deny the others. */
-	waiting -= reserve_one_each(pass, ps, approved, waiting);
-	waiting -= reserve_one_each(pass, ps, others, waiting);
-	if (!ps->step->spec->gang)
-		return true;
-	waiting -= reserve_more(pass, ps, approved, waiting);
-	reserve_more(pass, ps, others, waiting);
+	reserve_one_each(&r, approved);
+	reserve_one_each(&r, others);
+	if (ps->step->spec->gang)
+		reserve_more(&r);
 	return true;
 }
 
@@ -260,16 +331,28 @@
 	return out;
 }
 
-uint32_t reserve_on_approved(const struct pending_step *ps, uint32_t count)
+uint32_t reserve_on_approved(const struct pass *pass, const struct pending_step *ps)
 {
+	int64_t wait_ms = gang_wait_ms(pass, ps, NULL);
+	uint32_t count = ps->step->spec->count;
+	uint32_t runners = ps->pool->yields ? ps->pool->reserved_runners : 0;
 	uint32_t n = 0;
 
 	for (guint i = 0; i < ps->candidates->len && n < count; i++) {
 		struct cell_runner *rn = ps->candidates->pdata[i];
+		uint32_t left = pending_step_spread_left(ps, rn);
 
-		if (advice_verdict(ps->step->advice, rn->handle) == VERDICT_APPROVED)
-			n += pending_step_reserve(ps, rn, count - n);
+		if (advice_verdict(ps->step->advice, rn->handle) != VERDICT_APPROVED ||
+		    !pending_step_fits(ps, rn))
+			continue;
+		if (!may_reserve(pass, ps, runners))
+			break;
+		runners++;
+		for (; n < count && left && pending_step_has_room(ps, rn); n++, left--)
+			reserve_until(rn, &ps->need, wait_ms);
 	}
+	if (ps->pool->yields)
+		ps->pool->reserved_runners = runners;
 	return n;
 }
 
--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -5,7 +5,8 @@
 
 #define RESERVE_HORIZON_MS 12000 /* room that is expected later is not reserved yet */
 #define RESERVE_OVERRUN_MS 30000 /* a run that exceeds its estimate by more may go on for long */
-#define RESERVE_POOL_MILLI 500	 /* share of the runners for large tasks that are no gang */
+#define RESERVE_POOL_MILLI                                                                         \
+	500 /* share of the runners for large tasks that are no gang, and for all that yield */
 
 /*
  * reserve - reserves room on runners for the rest of a placement pass, against steps of lower rank.
@@ -22,8 +23,11 @@
  * reserve_on_freest - reserves room on the freest of the runners that are expected to have it
  * within RESERVE_HORIZON_MS. Room that is occupied for longer, as by lasting tasks, would only be
  * kept from other steps. Estimates may be wrong, so except for gangs a part of the pool is left to
- * others: large tasks start on a part of the runners at a time. Returns false if there is no such
- * runner, or RESERVING_STEPS_MAX steps of the pool have reserved room already.
+ * others: large tasks start on a part of the runners at a time. Gangs keep most of an idle pool for
+ * a bounded time; see hold.h. Tasks that end before the step is expected to start may use the room:
+ * a run that has exceeded its estimate is expected to go on for as long again, but no longer than
+ * its estimate. Returns false if there is no such runner, or RESERVING_STEPS_MAX steps of the pool
+ * have reserved room already.
  */
 bool reserve_on_freest(const struct pass *pass, const struct pending_step *ps, uint32_t waiting);
 /*
@@ -32,11 +36,12 @@
  */
 bool reserve_has_prospect(const struct pass *pass, const struct pending_step *ps, uint32_t count);
 /*
- * reserve_on_approved - reserves the room that there is for tasks of an advised step, on approved
- * runners. A gang keeps it until it has enough: while it waits for further advice or for a task to
- * end, less urgent tasks would take each free part. Returns for how many tasks there is room.
+ * reserve_on_approved - reserves the room that there is for an advised gang, on approved runners.
+ * It keeps it until it has enough: while it waits for further advice or for a task to end, less
+ * urgent tasks would take each free part, but for those that end before. Returns for how many
+ * members there is room.
  */
-uint32_t reserve_on_approved(const struct pending_step *ps, uint32_t count);
+uint32_t reserve_on_approved(const struct pass *pass, const struct pending_step *ps);
 /*
  * reserve_by_preemption - stops runs of less urgent jobs to make room for `count` tasks, and
  * reserves it. For a late job it stops nothing, and reserves room that is free or being freed.
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -1,6 +1,7 @@
 #define G_LOG_DOMAIN "scheduler"
 
 #include "advice_request.h"
+#include "hold.h"
 #include "lapse.h"
 
 #define ADVICE_RETRY_MS	 200  /* after a request without an answer */
@@ -278,6 +279,7 @@
 	s->begun_jobs = g_ptr_array_new();
 	s->planned_runs = g_ptr_array_new();
 	s->team_use = team_use_create();
+	s->holds = hold_table_create();
 	lapse_init(s, conf->lease_ends);
 	s->conf.lease_ends = NULL;
 	job_table_each(jobs, inherit_job, s);
@@ -305,6 +307,7 @@
 	if (!s)
 		return;
 	job_table_each(s->jobs, detach_job, NULL);
+	g_hash_table_unref(s->holds);
 	team_use_destroy(s->team_use);
 	lapse_clear(s);
 	g_ptr_array_unref(s->planned_runs);
--- a/packages/cell/process/scheduler_priv.h
+++ b/packages/cell/process/scheduler_priv.h
@@ -31,6 +31,7 @@
 	GPtrArray *begun_jobs;	 /* struct cell_job whose first start is not in the log yet */
 	GPtrArray *planned_runs; /* struct run with no stored intent */
 	struct team_use *team_use;
+	GHashTable *holds;     /* struct hold by service; see hold.h */
 	GHashTable *lapsing;   /* struct lapsing by the runner's id; see lapse.h */
 	bool lapse_due;	       /* their record has to be written */
 	bool lapse_full;       /* it doesn't name all silent runners */
--- a/tests/cell/test_reserve.c
+++ b/tests/cell/test_reserve.c
@@ -258,6 +258,7 @@
 	int64_t run_ms;
 	int64_t every_ms; /* one small task comes */
 	int64_t limit_ms; /* until the large tasks start */
+	bool gang;
 };
 
 static const struct estimate_case estimate_cases[] = {
@@ -265,6 +266,10 @@
 	{ "four times as long", 5000, 20000, 500, 25000 },
 	{ "three times as long", 11000, 33000, 800, 40000 },
 	{ "without an estimate", 0, 20000, 500, 25000 },
+	{ "a gang, as estimated", 4000, 4000, 100, 6000, true },
+	{ "a gang, four times as long", 5000, 20000, 500, 25000, true },
+	{ "a gang, three times as long", 11000, 33000, 800, 40000, true },
+	{ "a gang, without an estimate", 0, 20000, 500, 25000, true },
 };
 
 /*
@@ -278,9 +283,11 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(estimate_cases); i++) {
 		const struct estimate_case *c = &estimate_cases[i];
-		const struct large_case large = {
-			.tasks = LARGE_TASKS, .cpu_milli = 28000, .jobs = 1, .queue = "urgent"
-		};
+		const struct large_case large = { .tasks = LARGE_TASKS,
+						  .cpu_milli = 28000,
+						  .jobs = 1,
+						  .queue = "urgent",
+						  .gang = c->gang };
 		struct fixture *f = fixture_with_runners();
 		struct workload *w = workload_create(f);
 		Cell__Job *lasting = fixture_new_job(OCCUPANT, "urgent", RUNNERS, LASTING_CPU);
@@ -312,3 +319,141 @@
 		fixture_destroy(f);
 	}
 }
+
+struct overdue_case {
+	const char *what;
+	uint32_t runners;
+	uint32_t occupants; /* tasks of 7.6 cores that take far longer than estimated */
+	struct large_case large;
+	uint32_t small_estimate_ms;
+	bool small_gang;
+	int64_t limit_ms; /* in which a small job starts */
+};
+
+/* finish_s of the users' pages: jobs have to run by then if half of a pool is free. */
+#define FINISH_MS	   14000
+#define OVERDUE(n, cpu, j) "", n, cpu, 0, j, .queue = "batch"
+
+static const struct overdue_case overdue_cases[] = {
+	{ "a gang", 7, 1, { OVERDUE(14, 7600, 1), .gang = true }, 2000, false, 4200 },
+	{ "spread",
+	  7,
+	  1,
+	  { OVERDUE(7, 15600, 1), .gang = true, .spread_max = 1 },
+	  2000,
+	  false,
+	  4200 },
+	{ "two gangs and tasks", 8, 2, { OVERDUE(16, 7600, 2), .gang = true }, 2000, false, 4200 },
+	{ "one rack",
+	  2,
+	  1,
+	  { OVERDUE(4, 7600, 1), .gang = true, .one_rack = true },
+	  2000,
+	  false,
+	  4200 },
+	{ "an advisor",
+	  7,
+	  1,
+	  { "", 14, 7600, 0, 1, .gang = true, .advised = true, .queue = "advised" },
+	  2000,
+	  false,
+	  4200 },
+	{ "one runner, a large task", 1, 1, { OVERDUE(1, 12000, 1) }, 2000, false, 4200 },
+	{ "two runners, large tasks", 2, 2, { OVERDUE(2, 12000, 2) }, 2000, false, 4200 },
+	{ "long small tasks",
+	  7,
+	  1,
+	  { OVERDUE(14, 7600, 1), .gang = true },
+	  30000,
+	  false,
+	  FINISH_MS },
+	{ "small tasks without an estimate",
+	  7,
+	  1,
+	  { OVERDUE(14, 7600, 1), .gang = true },
+	  0,
+	  false,
+	  FINISH_MS },
+	{ "small gangs", 7, 1, { OVERDUE(14, 7600, 1), .gang = true }, 2000, true, FINISH_MS },
+	{ "two gangs, small gangs",
+	  8,
+	  2,
+	  { OVERDUE(16, 7600, 2), .gang = true },
+	  2000,
+	  true,
+	  FINISH_MS },
+	{ "an advisor, long small tasks",
+	  7,
+	  1,
+	  { "", 14, 7600, 0, 1, .gang = true, .advised = true, .queue = "advised" },
+	  30000,
+	  false,
+	  FINISH_MS },
+	{ "one runner, long small tasks", 1, 1, { OVERDUE(1, 12000, 1) }, 30000, false, FINISH_MS },
+};
+
+/* Submits a small job, and returns when it was. */
+static int64_t submit_behind(struct fixture *f, const struct overdue_case *c, uint32_t i, int64_t t)
+{
+	g_autofree char *id = g_strdup_printf(SMALL "%04u", i);
+	Cell__Job *job = fixture_new_job(id, "batch", c->small_gang ? 2 : 1, 900);
+
+	job->step[0]->gang = c->small_gang;
+	job->step[0]->estimate_ms = c->small_estimate_ms;
+	job->stretch_milli = 9000;
+	job->objective_ms = 3000;
+	fixture_submit(f, job);
+	return t;
+}
+
+/*
+ * Guards against jobs that wait beside an empty pool: a gang that waited for one run past its
+ * estimate reserved all runners until that run had ended, and nothing else started. The other
+ * side: the gang starts when the run has ended, though small jobs go on coming.
+ */
+Test(reserve, small_jobs_start_while_a_gang_waits_for_an_overdue_run)
+{
+	enum { CORES_MILLI = 16000, OCCUPANT_MS = 25000, JOBS = 8, EVERY_MS = 1000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(overdue_cases); i++) {
+		const struct overdue_case *c = &overdue_cases[i];
+		struct fixture *f = fixture_create();
+		struct workload *w = workload_create(f);
+		Cell__Job *occupants = fixture_new_job(OCCUPANT, "urgent", c->occupants, 7600);
+		int64_t submitted_ms[JOBS] = { 0 };
+		uint32_t wanted = c->large.tasks * c->large.jobs;
+		uint32_t next = 0;
+
+		fixture_add_queue(f, "urgent", "desk", 0, 3, 0);
+		fixture_add_queue(f, "batch", "desk", 2, 3, 0);
+		fixture_add_queue(f, "advised", "desk", 0, 3, 17);
+		fixture_start_cell(f, c->runners, 1, CORES_MILLI, 0);
+		workload_add(w, &(struct workload_job){ SMALL, 2000, END_DONE, 100 });
+		workload_add(w, &(struct workload_job){ LARGE, 1000, END_DONE, 100 });
+		workload_add(w, &(struct workload_job){ OCCUPANT, OCCUPANT_MS, END_DONE, 100 });
+		occupants->step[0]->estimate_ms = 8000;
+		occupants->step[0]->spread_max = 1;
+		fixture_submit(f, occupants);
+		run_advised(w, f, 1000);
+		submit_large(f, &c->large);
+		for (int64_t t = 1000; t < OCCUPANT_MS + 6000; t += 200) {
+			/* Before the run is overdue, and after. */
+			if (t >= 8000 && next < JOBS && t % EVERY_MS == 0) {
+				submitted_ms[next] = submit_behind(f, c, next, t);
+				next++;
+			}
+			run_advised(w, f, 200);
+			for (uint32_t k = 0; k < next; k++) {
+				g_autofree char *id = g_strdup_printf(SMALL "%04u", k);
+
+				if (t - submitted_ms[k] == c->limit_ms)
+					cr_expect_gt(workload_started(w, id), 0,
+						     "%s: job %u hasn't started", c->what, k);
+			}
+		}
+		cr_expect_eq(workload_started(w, LARGE), wanted, "%s: %u of %u large tasks started",
+			     c->what, workload_started(w, LARGE), wanted);
+		workload_destroy(w);
+		fixture_destroy(f);
+	}
+}
