Let tasks run on workers that are held for a gang behind overdue work

What callers may see, on the own interface: a gang that waits for work past its expected run time holds all workers that it needs, and no other task starts on them until that work has ended.

Cause: work past its expected time counted as ending now, when the hold was taken only, and a hold that had expired after 30 s was taken again at once.

Change: overdue work is expected to go on for as long again, but no longer than its expected time; the start of the gang is deferred by that each second, and parked teams try the held workers again.

--- a/packages/core/process/ganghold.c
+++ b/packages/core/process/ganghold.c
@@ -1,6 +1,7 @@
 #include "ganghold.h"
 
 #define HOLD_MIN_MS    30000   /* shortest time before a hold expires */
+#define UPDATE_MS      1000    /* between updates of the expected start */
 #define DEFAULT_RUN_MS 3600000 /* for work whose run time is not known */
 
 struct candidate {
@@ -19,11 +20,16 @@
 	g_array_free(h->workers, TRUE);
 }
 
+/*
+ * Work that has exceeded its expected run time goes on for as long again, but no longer than that
+ * time: if all of it takes longer, work like this must not follow in its place.
+ */
 static int64_t expected_end(const struct item *it, int64_t now_ms)
 {
-	int64_t end = it->started_ms + (it->expected_run_ms ? it->expected_run_ms : DEFAULT_RUN_MS);
+	int64_t run_ms = it->expected_run_ms ? it->expected_run_ms : DEFAULT_RUN_MS;
+	int64_t end = it->started_ms + run_ms;
 
-	return MAX(end, now_ms);
+	return end >= now_ms ? end : now_ms + MIN(now_ms - end, run_ms);
 }
 
 /* How many tasks fit once everything but services, urgent work and requests has ended, and when. */
@@ -99,9 +105,28 @@
 		worker_index_update(wi, c->worker);
 	}
 	h->until_ms = MAX(h->shadow_ms, now_ms + HOLD_MIN_MS);
+	h->update_ms = MAX(h->shadow_ms, now_ms + UPDATE_MS);
 	return true;
 }
 
+bool gang_hold_update(struct gang_hold *h, const struct worker_index *wi, int64_t now_ms)
+{
+	const struct res *size = &h->gang->waiting.first->w.size;
+	int64_t before_ms = h->shadow_ms;
+
+	if (now_ms < h->update_ms)
+		return false;
+	for (guint i = 0; i < h->workers->len; i++) {
+		uint32_t worker = g_array_index(h->workers, uint32_t, i);
+
+		if (worker_index_get(wi, worker))
+			h->shadow_ms =
+				MAX(h->shadow_ms, evaluate(wi, worker, size, now_ms).ready_ms);
+	}
+	h->update_ms = MAX(h->shadow_ms, now_ms + UPDATE_MS);
+	return h->shadow_ms > before_ms;
+}
+
 void gang_hold_release(struct gang_hold *h, struct worker_index *wi)
 {
 	for (guint i = 0; i < h->workers->len; i++) {
--- a/packages/core/process/owner.c
+++ b/packages/core/process/owner.c
@@ -393,7 +393,7 @@
 	if (g)
 		next = MIN(next, g->expiry_ms);
 	if (o->hold.gang)
-		next = MIN(next, o->hold.until_ms);
+		next = MIN(next, MIN(o->hold.until_ms, o->hold.update_ms));
 	return next;
 }
 
--- a/packages/core/process/schedule.c
+++ b/packages/core/process/schedule.c
@@ -393,7 +393,8 @@
 	return allocated->len;
 }
 
-void owner_release_hold(struct owner *o)
+/* Lets parked teams try the held workers again. */
+static void note_held_as_freed(struct owner *o)
 {
 	for (guint i = 0; i < o->hold.workers->len; i++) {
 		uint32_t worker = g_array_index(o->hold.workers, uint32_t, i);
@@ -401,6 +402,11 @@
 		if (worker_index_get(o->workers, worker))
 			owner_note_freed(o, worker);
 	}
+}
+
+void owner_release_hold(struct owner *o)
+{
+	note_held_as_freed(o);
 	gang_hold_release(&o->hold, o->workers);
 }
 
@@ -416,8 +422,10 @@
 		return;
 	}
 	if (gang_hold_take(&o->hold, o->workers, gang, now_ms)) {
-		if (preempt_for_gang(o, gang))
+		if (preempt_for_gang(o, gang)) {
 			o->hold.shadow_ms = now_ms;
+			o->hold.update_ms = o->hold.until_ms;
+		}
 		return;
 	}
 	o->hold_not_before_ms = now_ms + HOLD_SCAN_MS;
@@ -549,7 +557,10 @@
 	if (o->hold.gang && now_ms >= o->hold.until_ms) {
 		owner_release_hold(o);
 		o->gangs_changed = true;
+		o->hold_not_before_ms = MAX(o->hold_not_before_ms, now_ms + GANG_HOLD_PAUSE_MS);
 	}
+	if (o->hold.gang && gang_hold_update(&o->hold, o->workers, now_ms))
+		note_held_as_freed(o);
 	fair_unpark_aged(o->fair, now_ms - AGED_MS, AGED_TEAMS_MAX);
 	if (now_ms >= o->avoid_retry_ms) {
 		o->avoid_retry_ms = INT64_MAX;
--- a/tests/test_gang.c
+++ b/tests/test_gang.c
@@ -112,6 +112,69 @@
 	finish(&c);
 }
 
+struct overdue_case {
+	const char *name;
+	uint32_t small_run_ms; /* 0: not known */
+	int64_t limit_ms;      /* until all have started */
+};
+
+/*
+ * Guards against tasks that wait beside empty workers: a gang that waited for work past its
+ * expected run time held all workers until that had ended. The other side: the gang starts then,
+ * though small tasks go on coming.
+ */
+Test(gang, small_tasks_start_while_a_gang_waits_for_overdue_work)
+{
+	static const struct overdue_case cases[] = {
+		{ "short tasks", 2000, 6000 },
+		{ "tasks of unknown run time", 0, 33000 },
+	};
+	enum { EXPECTED_MS = 8000, RUN_MS = 60000, SMALL = 8 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct work busy = task(WORK_BATCH, 1, 16, EXPECTED_MS);
+		struct work big = task(WORK_GANG, 2, 15, 1000);
+		struct work small = task(WORK_BATCH, 3, 3, cases[i].small_run_ms);
+		uint64_t gang = 0;
+		uint64_t id[SMALL];
+		uint64_t first;
+		struct cell c;
+
+		cell_init(&c, NULL);
+		cell_workers(&c, &plain, 7);
+		big.gang_size = 14;
+		small.team = 1;
+		first = cell_submit(&c, &busy);
+		cell_run(&c);
+		for (uint32_t k = 0; k < big.gang_size; k++)
+			gang = cell_submit(&c, &big);
+		for (; c.now_ms < EXPECTED_MS; c.now_ms += 100)
+			cell_run(&c);
+		for (int k = 0; k < SMALL; k++)
+			id[k] = cell_submit(&c, &small);
+		for (; c.now_ms < RUN_MS; c.now_ms += 100) {
+			cell_run(&c);
+			for (int k = 0; k < SMALL; k++)
+				if (cell_work(&c, id[k])->running &&
+				    c.now_ms - cell_work(&c, id[k])->started_ms >= 2000)
+					cell_end(&c, id[k], END_OK);
+		}
+		for (int k = 0; k < SMALL; k++) {
+			cr_expect_geq(cell_work(&c, id[k])->started_ms, 0, "%s: %d never starts",
+				      cases[i].name, k);
+			cr_expect_leq(cell_work(&c, id[k])->started_ms,
+				      EXPECTED_MS + cases[i].limit_ms, "%s: %d starts late",
+				      cases[i].name, k);
+		}
+		cell_end(&c, first, END_OK);
+		for (; c.now_ms < RUN_MS + 3000; c.now_ms += 100)
+			cell_run(&c);
+		cr_expect_geq(cell_work(&c, gang)->started_ms, RUN_MS, "%s: the gang",
+			      cases[i].name);
+		finish(&c);
+	}
+}
+
 Test(gang, gang_preempts_only_the_work_it_needs_to)
 {
 	struct work busy = task(WORK_BATCH, 1, 8, 0);
