Store the cancel of an unknown job before answering 410

Cause: "no such job" was answered from what the log held at that moment. The job's record may be on its way in a process that doesn't run, on a link, in the scheduler's queue or in the store. On the same path: the scheduler took its own appends for stored without reading the records of others before them, a cancel among them; and a job that was placed before it was stored took its cancel along when the append failed.

Change: the cancel is stored first, and kept for 60 s, for the caller's team, 4,096 at most; more get 429. A job that comes in that time is accepted and cancelled. The scheduler reads unread records before its own jobs may start. Old cancels are deleted from the log.

Ruled out: to reject a submission anew at once. A VM that has not read the cancel can't, so callers would get one answer or the other.

--- a/packages/cell/process/job_table.c
+++ b/packages/cell/process/job_table.c
@@ -2,8 +2,12 @@
 
 #include "job_table.h"
 
+#define CANCELLED 1   /* first byte of the record of a cancel */
+#define TEAM_MARK ':' /* before the team */
+
 struct job_table {
 	GHashTable *by_id; /* struct cell_job */
+	GHashTable *early; /* struct early_cancel by id */
 	struct job_table_ops ops;
 	void *ctx;
 };
@@ -13,11 +17,20 @@
 	cell_job_destroy(data);
 }
 
+static void free_early(gpointer data)
+{
+	struct early_cancel *c = data;
+
+	g_free(c->team);
+	g_free(c);
+}
+
 struct job_table *job_table_create(void)
 {
 	struct job_table *t = g_new0(struct job_table, 1);
 
 	t->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+	t->early = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_early);
 	return t;
 }
 
@@ -25,6 +38,7 @@
 {
 	if (!t)
 		return;
+	g_hash_table_unref(t->early);
 	g_hash_table_unref(t->by_id);
 	g_free(t);
 }
@@ -64,6 +78,28 @@
 	return NULL;
 }
 
+bool job_table_may_access(const char *job_team, const char *team)
+{
+	return !team || !*job_team || g_str_equal(job_team, team);
+}
+
+static const struct early_cancel *find_early(const struct job_table *t, const Cell__Job *job)
+{
+	const struct early_cancel *c = g_hash_table_lookup(t->early, job->id);
+
+	return c && job_table_may_access(job->team, c->team) ? c : NULL;
+}
+
+/* The newest record of a key is the one that the log keeps. Takes ownership of team. */
+static void add_early(struct job_table *t, const char *id, char *team)
+{
+	struct early_cancel *c = g_new0(struct early_cancel, 1);
+
+	g_strlcpy(c->id, id, sizeof(c->id));
+	c->team = team;
+	g_hash_table_replace(t->early, c->id, c);
+}
+
 /* An earlier release may have accepted a job that can't be done. Its caller still asks for it. */
 static void set_stored_spec(struct cell_job *j, Cell__Job *job)
 {
@@ -92,6 +128,10 @@
 	else
 		set_stored_spec(j, job);
 	j->tentative = false;
+	if (find_early(t, j->spec)) {
+		j->cancelled = true;
+		g_hash_table_remove(t->early, id);
+	}
 	changed(t, j);
 	return true;
 }
@@ -109,7 +149,7 @@
 	job = read_job(key, value, size);
 	if (!job)
 		return false;
-	if (cell_job_check_spec(job)) {
+	if (find_early(t, job) || cell_job_check_spec(job)) {
 		cell__job__free_unpacked(job, NULL);
 		return false;
 	}
@@ -134,11 +174,39 @@
 	return true;
 }
 
-static void apply_cancel(struct job_table *t, const char *id)
+/* Returns NULL if it names no team, as the records of callers without teams. */
+static char *cancel_team(const uint8_t *value, size_t size)
 {
-	struct cell_job *j = get(t, id);
+	if (size < 2 || value[1] != TEAM_MARK)
+		return NULL;
+	return g_strndup((const char *)value + 2, size - 2);
+}
 
-	if (j->cancelled)
+uint8_t *job_table_cancel_record(const char *team, size_t *size)
+{
+	size_t length = team ? strlen(team) + 1 : 0;
+	uint8_t *value = g_malloc(1 + length);
+
+	value[0] = CANCELLED;
+	if (team) {
+		value[1] = TEAM_MARK;
+		memcpy(value + 2, team, length - 1);
+	}
+	*size = 1 + length;
+	return value;
+}
+
+static void apply_cancel(struct job_table *t, const char *id, const uint8_t *value, size_t size)
+{
+	struct cell_job *j = job_table_find(t, id);
+	g_autofree char *team = cancel_team(value, size);
+
+	if (!j) {
+		add_early(t, id, g_steal_pointer(&team));
+		return;
+	}
+	g_hash_table_remove(t->early, id);
+	if (j->cancelled || !job_table_may_access(j->spec->team, team))
 		return;
 	j->cancelled = true;
 	changed(t, j);
@@ -162,6 +230,9 @@
 
 	if (!j || !j->tentative)
 		return false;
+	/* Its record may still be stored, late or again. */
+	if (j->cancelled)
+		add_early(t, id, *j->spec->team ? g_strdup(j->spec->team) : NULL);
 	drop(t, id, true);
 	return true;
 }
@@ -177,6 +248,8 @@
 	if (!job_id_is_valid(id))
 		return false;
 	if (size == 0) {
+		if (g_str_equal(kind, "/c"))
+			g_hash_table_remove(t->early, id);
 		drop(t, id, !*kind);
 		return true;
 	}
@@ -186,7 +259,7 @@
 		return apply_progress(t, id, value, size);
 	if (!g_str_equal(kind, "/c"))
 		return false;
-	apply_cancel(t, id);
+	apply_cancel(t, id, value, size);
 	return true;
 }
 
@@ -250,6 +323,34 @@
 	return n;
 }
 
+const struct early_cancel *job_table_early_cancel(const struct job_table *t, const char *id)
+{
+	return g_hash_table_lookup(t->early, id);
+}
+
+uint32_t job_table_early_cancels(const struct job_table *t)
+{
+	return g_hash_table_size(t->early);
+}
+
+GPtrArray *job_table_age_cancels(struct job_table *t, int64_t now_ms, int64_t age_ms, uint32_t max)
+{
+	GPtrArray *old = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->early);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct early_cancel *c = value;
+
+		if (!c->since_ms)
+			c->since_ms = now_ms;
+		else if (now_ms - c->since_ms >= age_ms && old->len < max)
+			g_ptr_array_add(old, g_strdup(c->id));
+	}
+	return old;
+}
+
 void job_table_each(const struct job_table *t, void (*fn)(void *ctx, struct cell_job *j), void *ctx)
 {
 	GHashTableIter it;
@@ -277,7 +378,7 @@
 		bytes += j->stored_bytes;
 		bytes += cell_job_has_ended(j) ? j->ended_bytes : j->open_bytes;
 	}
-	return bytes;
+	return bytes + g_hash_table_size(t->early) * sizeof(struct early_cancel);
 }
 
 uint32_t job_table_size(const struct job_table *t)
--- a/packages/cell/process/job_table.h
+++ b/packages/cell/process/job_table.h
@@ -7,10 +7,22 @@
  * job_table - the jobs of a cell, as read from the job log.
  *
  * Keys of the log: ID for the job as accepted, ID/c if it was cancelled, ID/p for its progress. A
- * record without a value deletes its key. The records of one job may be applied in any order.
+ * record without a value deletes its key. The records of one job may be applied in any order: a job
+ * whose cancel comes first is cancelled from the start.
+ *
+ * A cancel's record has the byte 1, and after it a colon and the team whose jobs it cancels.
  */
 struct job_table;
 
+#define EARLY_CANCELS_MAX 4096 /* of a cell; a bound of the memory and the records they take */
+
+/* A cancel whose job isn't known: the job's record may be on its way. */
+struct early_cancel {
+	char id[JOB_ID_LEN + 1];
+	char *team;	  /* whose jobs it cancels; NULL: of any team */
+	int64_t since_ms; /* 0 until job_table_age_cancels() has seen it */
+};
+
 struct job_table_ops {
 	/* changed - the job was added, stored or cancelled; may be NULL. */
 	void (*changed)(void *ctx, struct cell_job *j);
@@ -44,6 +56,18 @@
 			   const char *runner);
 /* job_table_count_waiting - number of open jobs of the queue of which no task has run. */
 uint32_t job_table_count_waiting(const struct job_table *t, const char *queue);
+/* job_table_early_cancel - returns NULL if the job is known, or wasn't cancelled. */
+const struct early_cancel *job_table_early_cancel(const struct job_table *t, const char *id);
+uint32_t job_table_early_cancels(const struct job_table *t);
+/*
+ * job_table_age_cancels - returns the ids (char *, owned by the array) of at most `max` early
+ * cancels that have been known for age_ms.
+ */
+GPtrArray *job_table_age_cancels(struct job_table *t, int64_t now_ms, int64_t age_ms, uint32_t max);
+/* job_table_cancel_record - value of the record of a cancel; free it with g_free(). */
+uint8_t *job_table_cancel_record(const char *team, size_t *size);
+/* job_table_may_access - team: of the caller; NULL if jobs of all teams may be accessed. */
+bool job_table_may_access(const char *job_team, const char *team);
 void job_table_each(const struct job_table *t, void (*fn)(void *ctx, struct cell_job *j),
 		    void *ctx);
 /* job_table_bytes - bound of the memory that the jobs take, see cell_job_open_bytes(). */
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -8,6 +8,8 @@
 #define PRODUCER	 "scheduler"
 #define STORE_DOWN_CALLS 2 /* failed calls in a row, after which the store counts as down */
 #define TICK_MS		 20
+#define CANCELS_EVERY_MS 1000 /* between looks for early cancels that are too old */
+#define CANCELS_DROP_MAX 256  /* that are deleted at a time */
 /* Of one append; the platform takes 2,097,152 bytes, and the last record may go beyond. */
 #define PART_BYTES	    1048576
 #define PARTS_IN_FLIGHT_MAX 4 /* the store knows a producer's last five appends again */
@@ -396,10 +398,27 @@
 	send_due_batches(j, now);
 }
 
+/* All processes note the age, as each may be the scheduler later. */
+static void drop_early_cancels(struct joblog *j, int64_t now)
+{
+	g_autoptr(GPtrArray) old = NULL;
+
+	if (now < j->cancels_due_ms)
+		return;
+	j->cancels_due_ms = now + CANCELS_EVERY_MS;
+	old = job_table_age_cancels(j->jobs, now, JOBLOG_EARLY_CANCEL_MS, CANCELS_DROP_MAX);
+	for (guint i = 0; j->leading && i < old->len; i++) {
+		g_autofree char *key = g_strdup_printf("%s/c", (const char *)old->pdata[i]);
+
+		joblog_append(j, key, NULL, 0, now + CANCELS_EVERY_MS, on_cancel_deleted, j);
+	}
+}
+
 void joblog_tick(struct joblog *j)
 {
 	int64_t now = node_now_ms();
 
+	drop_early_cancels(j, now);
 	joblog_send_appends(j);
 	if (j->leading || j->fencing)
 		tick_leader(j, now);
--- a/packages/node/process/joblog.h
+++ b/packages/node/process/joblog.h
@@ -14,6 +14,12 @@
 #define JOBLOG_JOBS	0
 #define JOBLOG_PROGRESS 1
 
+/*
+ * For which a cancel whose job isn't known is kept: longer than a job's record may be on its way
+ * in a process that doesn't run, on a cut link or in the store.
+ */
+#define JOBLOG_EARLY_CANCEL_MS 60000
+
 struct joblog;
 
 struct joblog_ops {
--- a/packages/node/process/joblog_append.c
+++ b/packages/node/process/joblog_append.c
@@ -68,14 +68,22 @@
 	return now + RETRY_MS < p->deadline_ms;
 }
 
-/* The scheduler need not read back its own records. */
-static void skip_own_records(struct joblog *j, enum store_result result, uint64_t offset,
-			     uint32_t n)
+/*
+ * The scheduler need not read back its own records, unless those of others come before them: a job
+ * may have been cancelled there. Returns whether they are skipped.
+ */
+static bool skip_own_records(struct joblog *j, uint64_t offset, uint32_t n)
 {
 	struct reader *r = &j->reader[JOBLOG_JOBS];
 
-	if (result == STORE_OK && j->leading && !r->after_key && offset == r->next_offset)
-		r->next_offset += n;
+	if (!j->leading || r->after_key || offset != r->next_offset)
+		return false;
+	r->next_offset += n;
+	return true;
+}
+
+static void on_others_read(void *ctx, enum store_result result)
+{
 }
 
 /* One append to JOBLOG_JOBS. */
@@ -85,13 +93,14 @@
 	int64_t sent_ms;
 };
 
+/* skipped: the records will not be read. Nothing that comes before a deletion matters. */
 static void handle_result(struct joblog *j, struct pending_record *p, enum store_result result,
-			  int64_t now)
+			  bool skipped, int64_t now)
 {
 	p->in_doubt = p->in_doubt || result == STORE_UNKNOWN;
 	p->tries++;
 	if (result == STORE_OK) {
-		if (j->leading)
+		if (skipped || (j->leading && p->size == 0))
 			job_table_apply(j->jobs, p->key, p->value, p->size);
 		finish(j, p, STORE_OK);
 	} else if (should_retry(j, p, now)) {
@@ -106,13 +115,15 @@
 	struct append_call *call = ctx;
 	struct joblog *j = call->log;
 	int64_t now = node_now_ms();
+	bool skipped = result == STORE_OK && skip_own_records(j, offset, call->sent->len);
 
 	j->appends_in_flight--;
 	joblog_record_result(j, result);
 	joblog_record_append(j, result, now - call->sent_ms);
-	skip_own_records(j, result, offset, call->sent->len);
 	for (guint i = call->sent->len; i > 0; i--)
-		handle_result(j, call->sent->pdata[i - 1], result, now);
+		handle_result(j, call->sent->pdata[i - 1], result, skipped, now);
+	if (result == STORE_OK && j->leading && !skipped)
+		joblog_refresh(j, on_others_read, j);
 	g_ptr_array_unref(call->sent);
 	g_free(call);
 	j->append_due_ms = result == STORE_OK ? now : now + RETRY_MS;
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -62,6 +62,7 @@
 	int64_t append_sent_ms; /* of the newest one */
 	int64_t append_due_ms;
 	bool appends_ended;
+	int64_t cancels_due_ms; /* when early cancels are looked through next */
 	/* Progress. */
 	GPtrArray *batch;	 /* of struct batch, oldest first */
 	bool first_batch_stored; /* later batches of the term need not wait any more */
--- a/packages/node/request/admit.c
+++ b/packages/node/request/admit.c
@@ -163,12 +163,29 @@
 	return 0;
 }
 
+static uint32_t admit_cancel(const struct admit *a, const char *key)
+{
+	const struct job_table *jobs = joblog_job_table(a->log);
+	char id[JOB_ID_LEN + 1];
+
+	g_strlcpy(id, key, sizeof(id));
+	if (job_table_find(jobs, id) || job_table_early_cancel(jobs, id) ||
+	    job_table_early_cancels(jobs) < EARLY_CANCELS_MAX)
+		return 0;
+	log_request(LOG_NOTICE, id, "admit", NULL,
+		    "cancel rejected, retry after %u ms: the jobs of %u earlier ones aren't known",
+		    ADMIT_CANCEL_RETRY_MS, EARLY_CANCELS_MAX);
+	return ADMIT_CANCEL_RETRY_MS;
+}
+
 uint32_t admit_record(struct admit *a, const char *key, const uint8_t *value, size_t size)
 {
 	int64_t now_ms = node_now_ms();
 	uint32_t retry_after_ms = 0;
 	Cell__Job *job;
 
+	if (strlen(key) > JOB_ID_LEN)
+		return size ? admit_cancel(a, key) : 0;
 	if ((!a->jobs_max_bytes && !has_teams(a)) || !job_id_is_valid(key))
 		return 0;
 	if (job_table_find(joblog_job_table(a->log), key) ||
--- a/packages/node/request/admit.h
+++ b/packages/node/request/admit.h
@@ -9,13 +9,16 @@
  * of other nodes and those of this node's callers pass the same check. Other nodes check the memory
  * that the jobs take, as every process holds all of them.
  *
- * Only a new job can be rejected. A job that the log knows, or that was accepted shortly before, is
- * a repeat: an earlier attempt may be stored, so a rejection would be untrue.
+ * Only a new job can be rejected, or the cancel of one that isn't known. A job that the log knows,
+ * or that was accepted shortly before, is a repeat: an earlier attempt may be stored, so a
+ * rejection would be untrue.
  */
 #define ADMIT_KEEP_MS 10000 /* callers repeat within 3 s, and an append may take effect later */
 /* After a rejection for memory; spread by the job's id, so that callers don't return together. */
 #define ADMIT_MEMORY_RETRY_MIN_MS    3000
 #define ADMIT_MEMORY_RETRY_SPREAD_MS 4000
+/* After a rejection of a cancel, as there are EARLY_CANCELS_MAX whose jobs aren't known. */
+#define ADMIT_CANCEL_RETRY_MS 5000
 
 struct admit;
 
--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -49,7 +49,7 @@
 /* team: as for intake_cancel(). */
 static bool may_access(const struct cell_job *j, const char *team)
 {
-	return !team || !*j->spec->team || g_str_equal(j->spec->team, team);
+	return job_table_may_access(j->spec->team, team);
 }
 
 static enum job_state visible_state(const struct cell_job *j)
@@ -78,6 +78,7 @@
 	int64_t deadline_ms;
 	char *team;    /* of the caller, NULL if it may access the jobs of all teams */
 	bool in_doubt; /* the scheduler may have appended the record */
+	bool early;    /* a cancel whose job isn't known */
 	bool ended;    /* answered by intake_end(); what it waits for frees it */
 	intake_fn fn;
 	intake_state_fn state_fn;
@@ -127,6 +128,8 @@
 
 	if (answer == INTAKE_REFUSED && r->in_doubt)
 		answer = INTAKE_UNKNOWN;
+	if (answer == INTAKE_OK && r->early)
+		answer = INTAKE_NOT_FOUND;
 	finish(r, answer, 0);
 }
 
@@ -140,7 +143,9 @@
 /* An attempt by this node, which the scheduler may not have read yet, makes a rejection untrue. */
 static void reject(struct request *r, uint32_t retry_after_ms)
 {
-	if (find_stored(r->intake, r->id))
+	if (r->early)
+		finish(r, INTAKE_REJECTED, retry_after_ms);
+	else if (find_stored(r->intake, r->id))
 		finish(r, INTAKE_OK, 0);
 	else if (recent_ids_contains(r->intake->in_doubt, r->id, node_now_ms()))
 		finish(r, INTAKE_UNKNOWN, 0);
@@ -208,19 +213,40 @@
 	store_intake(r);
 }
 
-static void append_cancel(struct request *r, const struct cell_job *j)
+static void append_cancel(struct request *r)
 {
-	if (!may_access(j, r->team)) {
-		finish(r, INTAKE_FORBIDDEN, 0);
-		return;
-	}
 	r->key = g_strdup_printf("%s/c", r->id);
-	r->value = g_malloc(1);
-	r->value[0] = 1;
-	r->size = 1;
+	r->value = job_table_cancel_record(r->team, &r->size);
 	store_intake(r);
 }
 
+static void cancel_job(struct request *r, const struct cell_job *j)
+{
+	if (may_access(j, r->team))
+		append_cancel(r);
+	else
+		finish(r, INTAKE_FORBIDDEN, 0);
+}
+
+/*
+ * The job's record may be on its way: held by a VM that doesn't run, by a link, or by the store. So
+ * the answer that there is no such job comes after a record that cancels it, should it come.
+ */
+static void cancel_early(struct request *r)
+{
+	const struct early_cancel *known =
+		job_table_early_cancel(joblog_job_table(r->intake->log), r->id);
+
+	r->early = true;
+	if (known && !job_table_may_access(known->team ? known->team : "", r->team))
+		finish(r, INTAKE_FORBIDDEN, 0);
+	else if (known && (!known->team || r->team) &&
+		 node_now_ms() - known->since_ms < JOBLOG_EARLY_CANCEL_MS / 2)
+		finish(r, INTAKE_NOT_FOUND, 0);
+	else
+		append_cancel(r);
+}
+
 static void on_cancel_refreshed(void *ctx, enum store_result result)
 {
 	struct request *r = ctx;
@@ -231,9 +257,9 @@
 	else if (result != STORE_OK)
 		finish(r, INTAKE_REFUSED, 0);
 	else if (!j)
-		finish(r, INTAKE_NOT_FOUND, 0);
+		cancel_early(r);
 	else
-		append_cancel(r, j);
+		cancel_job(r, j);
 }
 
 void intake_cancel(struct intake *i, const char *id, const char *team, int64_t deadline_ms,
@@ -246,7 +272,7 @@
 	r->team = g_strdup(team);
 	r->deadline_ms = deadline_ms;
 	if (j)
-		append_cancel(r, j);
+		cancel_job(r, j);
 	else
 		joblog_refresh(i->log, on_cancel_refreshed, r);
 }
--- a/packages/node/request/intake.h
+++ b/packages/node/request/intake.h
@@ -39,6 +39,10 @@
 /*
  * intake_cancel, intake_state - team: of the caller, "" for none; NULL if jobs of all teams may be
  * accessed. The record of a job that isn't known here is read first, to learn whose it is.
+ *
+ * INTAKE_NOT_FOUND promises that the job doesn't run, even if its record is stored within
+ * JOBLOG_EARLY_CANCEL_MS: it is accepted then, and shown as cancelled. INTAKE_REJECTED: there are
+ * EARLY_CANCELS_MAX such promises. Another team may not cancel the same id within that time.
  */
 void intake_cancel(struct intake *i, const char *id, const char *team, int64_t deadline_ms,
 		   intake_fn fn, void *ctx);
--- a/tests/cell/test_job_table.c
+++ b/tests/cell/test_job_table.c
@@ -227,3 +227,102 @@
 	job_table_destroy(t);
 	g_free(r.value);
 }
+
+struct early_case {
+	const char *what;
+	const char *cancel_team; /* NULL: may cancel jobs of all teams */
+	const char *job_team;
+	bool cancelled;
+};
+
+/*
+ * Guards against a cancel that is lost since its job isn't known yet: the job's record came later,
+ * and it ran though its cancelling had been acknowledged.
+ */
+Test(job_table, a_cancel_holds_for_a_job_that_comes_later)
+{
+	static const struct early_case cases[] = {
+		{ "no teams", NULL, "", true },
+		{ "its team", "t", "t", true },
+		{ "a caller for all teams", NULL, "t", true },
+		{ "another team", "u", "t", false },
+		{ "a caller without a team", "", "t", false },
+		{ "a job without a team", "t", "", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct early_case *c = &cases[i];
+		Cell__Job *job = fixture_new_job(ID, "q", 2, 100);
+		struct job_table *t = job_table_create();
+		g_autofree uint8_t *cancel = NULL;
+		g_autofree uint8_t *value = NULL;
+		size_t cancel_size;
+		size_t size;
+
+		job->team = g_strdup(c->job_team);
+		size = cell__job__get_packed_size(job);
+		value = g_malloc(size);
+		cell__job__pack(job, value);
+		cell__job__free_unpacked(job, NULL);
+		cancel = job_table_cancel_record(c->cancel_team, &cancel_size);
+		cr_assert(job_table_apply(t, ID "/c", cancel, cancel_size));
+		cr_expect_eq(job_table_early_cancels(t), 1);
+		cr_expect_null(job_table_find(t, ID));
+		cr_expect_eq(job_table_add_tentative(t, ID, value, size), !c->cancelled,
+			     "%s: tentative", c->what);
+		cr_assert(job_table_apply(t, ID, value, size));
+		cr_expect_eq(job_table_find(t, ID)->cancelled, c->cancelled, "%s", c->what);
+		cr_expect_eq(job_table_count_waiting(t, "q"), !c->cancelled, "%s", c->what);
+		job_table_destroy(t);
+	}
+}
+
+/* Guards against a job that runs since its first, failed attempt to be stored took the cancel
+ * along.
+ */
+Test(job_table, a_cancel_outlives_a_job_that_was_not_stored)
+{
+	struct rec r = job_record();
+	struct job_table *t = job_table_create();
+
+	cr_assert(job_table_add_tentative(t, r.key, r.value, r.size));
+	cr_assert(job_table_apply(t, ID "/c", (const uint8_t *)"\1", 1));
+	cr_expect(job_table_find(t, ID)->cancelled);
+	cr_assert(job_table_drop_tentative(t, ID));
+	cr_assert_null(job_table_find(t, ID));
+	cr_assert(job_table_apply(t, r.key, r.value, r.size));
+	cr_expect(job_table_find(t, ID)->cancelled);
+	job_table_destroy(t);
+	g_free(r.value);
+}
+
+/* Guards against cancels of jobs that never come and are kept for good. */
+Test(job_table, early_cancels_grow_old)
+{
+	enum { N = 100, AGE_MS = 60000, MAX = 30 };
+	struct job_table *t = job_table_create();
+	GPtrArray *old;
+
+	for (uint32_t i = 0; i < N; i++) {
+		g_autofree char *key = g_strdup_printf("%016x/c", i);
+
+		cr_assert(job_table_apply(t, key, (const uint8_t *)"\1", 1));
+	}
+	old = job_table_age_cancels(t, 1000, AGE_MS, MAX);
+	cr_expect_eq(old->len, 0);
+	g_ptr_array_unref(old);
+	old = job_table_age_cancels(t, 1000 + AGE_MS - 1, AGE_MS, MAX);
+	cr_expect_eq(old->len, 0);
+	g_ptr_array_unref(old);
+	old = job_table_age_cancels(t, 1000 + AGE_MS, AGE_MS, MAX);
+	cr_expect_eq(old->len, MAX);
+	for (guint i = 0; i < old->len; i++) {
+		g_autofree char *key = g_strdup_printf("%s/c", (char *)old->pdata[i]);
+
+		cr_assert(job_table_apply(t, key, NULL, 0));
+		cr_expect_null(job_table_early_cancel(t, old->pdata[i]));
+	}
+	g_ptr_array_unref(old);
+	cr_expect_eq(job_table_early_cancels(t), N - MAX);
+	job_table_destroy(t);
+}
--- a/tests/node/test_intake.c
+++ b/tests/node/test_intake.c
@@ -295,6 +295,115 @@
 	}
 }
 
+struct early_case {
+	const char *what;
+	enum fake_mode store; /* for the appends */
+	enum intake_result expected;
+	bool cancelled; /* a job that comes later */
+};
+
+static void env_run(struct intake_env *e, uint32_t answers)
+{
+	for (int k = 0; k < ROUNDS_MAX && e->other.n < answers; k++) {
+		g_main_context_iteration(NULL, FALSE);
+		fake_now_ms += 1;
+		joblog_tick(e->joblog);
+		fake_serve(e->log);
+	}
+	cr_assert_eq(e->other.n, answers);
+}
+
+static void env_cancel(struct intake_env *e, const char *id, const char *team)
+{
+	intake_cancel(e->intake, id, team, fake_now_ms + 2000, on_submitted, &e->other);
+	env_run(e, e->other.n + 1);
+}
+
+/*
+ * Guards against "no such job" for a job whose record is on its way, as in a process that doesn't
+ * run: its caller's cancel was acknowledged so, and it was stored and started afterwards. A job
+ * that is submitted anew after its cancel is accepted, and cancelled.
+ */
+Test(intake, no_such_job_means_that_it_does_not_run)
+{
+	static const struct early_case cases[] = {
+		{ "stored", FAKE_OK, INTAKE_NOT_FOUND, true },
+		{ "refused", FAKE_REFUSES, INTAKE_REFUSED, false },
+		{ "no answer", FAKE_LATE, INTAKE_UNKNOWN, false },
+		{ "the log can't be read", FAKE_SILENT, INTAKE_REFUSED, false },
+		{ "answer lost", FAKE_LOSES_REPLY, INTAKE_UNKNOWN, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct early_case *c = &cases[i];
+		struct intake_env e = { 0 };
+		const struct cell_job *j;
+
+		env_open(&e, false);
+		fake_set_mode(e.client, c->store);
+		env_cancel(&e, "00000000000000a1", NULL);
+		cr_expect_eq(e.other.result, c->expected, "%s: %u", c->what, e.other.result);
+		fake_set_mode(e.client, FAKE_OK);
+		fake_now_ms += 5000;
+		joblog_tick(e.joblog);
+		fake_serve(e.log);
+		env_submit(&e);
+		cr_expect_eq(e.submitted.result, INTAKE_OK, "%s", c->what);
+		for (int k = 0; k < 100; k++) {
+			fake_now_ms += 20;
+			joblog_tick(e.joblog);
+			fake_serve(e.log);
+		}
+		j = job_table_find(joblog_job_table(e.joblog), "00000000000000a1");
+		cr_assert_not_null(j, "%s", c->what);
+		cr_expect_eq(j->cancelled, c->cancelled, "%s", c->what);
+		env_close(&e);
+	}
+}
+
+/*
+ * Guards against cancels of jobs that never existed and that fill the log and the memory: a repeat
+ * appends nothing, another team is refused, and their number is limited.
+ */
+Test(intake, early_cancels_are_bounded)
+{
+	struct intake_env e = { 0 };
+	struct admit *admit;
+	uint32_t records;
+
+	env_open(&e, false);
+	admit = admit_create(e.joblog, NULL);
+	intake_destroy(e.intake);
+	e.intake = intake_create(e.joblog, e.b.links, admit);
+	fake_now_ms += 10 * JOBLOG_EARLY_CANCEL_MS;
+	env_cancel(&e, "00000000000000a1", "t");
+	cr_expect_eq(e.other.result, INTAKE_NOT_FOUND);
+	for (int k = 0; k < 100; k++) {
+		fake_now_ms += 20;
+		joblog_tick(e.joblog);
+		fake_serve(e.log);
+	}
+	records = fake_record_count(e.log, TOPIC, JOBLOG_JOBS);
+	for (int k = 0; k < 10; k++) {
+		env_cancel(&e, "00000000000000a1", "t");
+		cr_expect_eq(e.other.result, INTAKE_NOT_FOUND);
+	}
+	cr_expect_eq(fake_record_count(e.log, TOPIC, JOBLOG_JOBS), records);
+	env_cancel(&e, "00000000000000a1", "u");
+	cr_expect_eq(e.other.result, INTAKE_FORBIDDEN);
+	for (uint32_t k = 1; k < EARLY_CANCELS_MAX; k++) {
+		g_autofree char *key = g_strdup_printf("%016x/c", 0x1000 + k);
+
+		job_table_apply(joblog_job_table(e.joblog), key, (const uint8_t *)"\1", 1);
+	}
+	env_cancel(&e, "00000000000000a2", "t");
+	cr_expect_eq(e.other.result, INTAKE_REJECTED);
+	cr_expect_eq(e.other.retry_after_ms, ADMIT_CANCEL_RETRY_MS);
+	cr_expect_eq(fake_record_count(e.log, TOPIC, JOBLOG_JOBS), records);
+	env_close(&e);
+	admit_destroy(admit);
+}
+
 enum wait_kind {
 	WAIT_APPEND,  /* a job, in an append that the store doesn't answer */
 	WAIT_QUEUED,  /* a job that waits until that append is over */
--- a/tests/node/test_joblog.c
+++ b/tests/node/test_joblog.c
@@ -564,6 +564,70 @@
 	}
 }
 
+/*
+ * Guards against a start after a cancel that another node has stored: the scheduler had been
+ * paused, and took its own job for stored without having read the records before it.
+ */
+Test(joblog, records_of_others_come_before_own_ones)
+{
+	static const struct {
+		const char *what;
+		bool cancelled; /* by another node, before the job is stored */
+		bool other;	/* another record is stored before */
+	} cases[] = {
+		{ "nothing else", false, false },
+		{ "a cancel", true, false },
+		{ "another job's cancel", false, true },
+		{ "both", true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture f = { 0 };
+		const struct cell_job *j;
+		bool started = false;
+
+		setup_in_term(&f);
+		if (cases[i].other)
+			fake_add_record(f.log, TOPIC, JOBLOG_JOBS, "00000000000000b2/c",
+					(const uint8_t *)"\1", 1);
+		if (cases[i].cancelled)
+			fake_add_record(f.log, TOPIC, JOBLOG_JOBS, ID "/c", (const uint8_t *)"\1",
+					1);
+		submit(&f, 2000);
+		for (int k = 0; k < 50; k++) {
+			advance(&f, TICK_MS);
+			j = job_table_find(joblog_job_table(f.joblog), ID);
+			started |= j && !j->tentative && !j->cancelled;
+		}
+		cr_expect_eq(f.results, 2, "%s", cases[i].what);
+		cr_expect_eq(f.result, STORE_OK, "%s", cases[i].what);
+		j = job_table_find(joblog_job_table(f.joblog), ID);
+		cr_assert(j && !j->tentative, "%s", cases[i].what);
+		cr_expect_eq(started, !cases[i].cancelled, "%s: may start", cases[i].what);
+		cr_expect_eq(j->cancelled, cases[i].cancelled, "%s: cancelled", cases[i].what);
+		teardown(&f);
+	}
+}
+
+/* Guards against records of cancels that fill the log, as nobody deletes those of unknown jobs. */
+Test(joblog, early_cancels_leave_the_log)
+{
+	enum { N = 600 };
+	struct fixture f = { 0 };
+
+	setup_in_term(&f);
+	for (uint32_t i = 0; i < N; i++) {
+		g_autofree char *key = g_strdup_printf("%016x/c", i);
+
+		fake_add_record(f.log, TOPIC, JOBLOG_JOBS, key, (const uint8_t *)"\1", 1);
+	}
+	advance(&f, JOBLOG_EARLY_CANCEL_MS / 2);
+	cr_expect_eq(job_table_early_cancels(joblog_job_table(f.joblog)), N);
+	advance(&f, JOBLOG_EARLY_CANCEL_MS / 2 + 6000);
+	cr_expect_eq(job_table_early_cancels(joblog_job_table(f.joblog)), 0);
+	teardown(&f);
+}
+
 /*
  * A read of the progress was in flight when the node became the scheduler. Applied afterwards, it
  * overwrote the runs started since. Test days counted 40 violations of the rule LIMIT and 14 of
