Keep the jobs while the log is read again after a term

Cause: joblog_end_term() discarded the table of jobs and read the whole log again, page by page; counts, states and "no such job" were answered from what had been read so far. The same on each VM whose log was trimmed past what it had read.

Change: the table stays. After a term only the progress is read again, since the scheduler doesn't read it and may not have stored what it knows; what was never stored is dropped once all is read. A trimmed log is read again in the same way. Payloads of ended jobs are freed when the end is stored. No second table, and a hand-over reads less.

Tests: node_joblog jobs_are_known_while_the_log_is_read_again and refresh_waits_for_a_trimmed_log fail on ("a term ends: 0 after 0 ms"; "is null"); progress_that_was_not_stored_is_forgotten_after_the_term is the other side. refresh_waits_for_a_reload and refresh_reads _everything_again_after_a_reload held the reads of the jobs, which are not read again after a term any more: they hold those of the progress now, and refresh_waits_for_a_trimmed_log checks the jobs.

--- a/packages/cell/process/job_table.c
+++ b/packages/cell/process/job_table.c
@@ -119,6 +119,7 @@
 	if (!job)
 		return false;
 	j = get(t, id);
+	j->record_stale = false;
 	if (j->spec && !j->tentative) {
 		cell__job__free_unpacked(job, NULL);
 		return true;
@@ -224,19 +225,118 @@
 	g_hash_table_remove(t->by_id, id);
 }
 
+/* The record of a tentative job may still be stored, late or again. */
+static void keep_cancel(struct job_table *t, const struct cell_job *j)
+{
+	if (j->cancelled)
+		add_early(t, j->id, *j->spec->team ? g_strdup(j->spec->team) : NULL);
+}
+
 bool job_table_drop_tentative(struct job_table *t, const char *id)
 {
 	const struct cell_job *j = g_hash_table_lookup(t->by_id, id);
 
 	if (!j || !j->tentative)
 		return false;
-	/* Its record may still be stored, late or again. */
-	if (j->cancelled)
-		add_early(t, id, *j->spec->team ? g_strdup(j->spec->team) : NULL);
+	keep_cancel(t, j);
 	drop(t, id, true);
 	return true;
 }
 
+static void drop_jobs(struct job_table *t, bool (*matches)(const struct cell_job *j))
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (!matches(value))
+			continue;
+		if (t->ops.dropped)
+			t->ops.dropped(t->ctx, value);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+static bool is_tentative(const struct cell_job *j)
+{
+	return j->tentative;
+}
+
+/* A job that is cancelled may still be stored. */
+void job_table_drop_all_tentative(struct job_table *t)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (is_tentative(value))
+			keep_cancel(t, value);
+	drop_jobs(t, is_tentative);
+}
+
+void job_table_begin_reload(struct job_table *t, enum job_table_part part)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct cell_job *j = value;
+
+		if (part == JOB_TABLE_PROGRESS)
+			j->progress_stale = true;
+		else
+			j->record_stale = j->spec;
+	}
+	if (part == JOB_TABLE_PROGRESS)
+		return;
+	g_hash_table_iter_init(&it, t->early);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct early_cancel *)value)->stale = true;
+}
+
+static bool has_stale_record(const struct cell_job *j)
+{
+	return j->record_stale;
+}
+
+static bool has_only_stale_progress(const struct cell_job *j)
+{
+	return !j->spec && j->progress_stale;
+}
+
+static gboolean is_stale_cancel(gpointer id, gpointer value, gpointer ctx)
+{
+	return ((const struct early_cancel *)value)->stale;
+}
+
+static void reset_stale_progress(struct job_table *t)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct cell_job *j = value;
+
+		if (j->progress_stale)
+			cell_job_reset_progress(j);
+	}
+}
+
+void job_table_end_reload(struct job_table *t, enum job_table_part part)
+{
+	if (part == JOB_TABLE_PROGRESS) {
+		drop_jobs(t, has_only_stale_progress);
+		reset_stale_progress(t);
+		return;
+	}
+	drop_jobs(t, has_stale_record);
+	g_hash_table_foreach_remove(t->early, is_stale_cancel, NULL);
+}
+
 bool job_table_apply(struct job_table *t, const char *key, const uint8_t *value, size_t size)
 {
 	char id[JOB_ID_LEN + 1];
--- a/packages/cell/process/job_table.h
+++ b/packages/cell/process/job_table.h
@@ -21,6 +21,7 @@
 	char id[JOB_ID_LEN + 1];
 	char *team;	  /* whose jobs it cancels; NULL: of any team */
 	int64_t since_ms; /* 0 until job_table_age_cancels() has seen it */
+	bool stale;	  /* not read since job_table_begin_reload() */
 };
 
 struct job_table_ops {
@@ -44,6 +45,24 @@
 			     size_t size);
 /* job_table_drop_tentative - removes the job; false if it isn't tentative any more. */
 bool job_table_drop_tentative(struct job_table *t, const char *id);
+/* job_table_drop_all_tentative - removes the jobs that are tentative. */
+void job_table_drop_all_tentative(struct job_table *t);
+
+/* The records that are read again. */
+enum job_table_part {
+	JOB_TABLE_JOBS = 0, /* ID and ID/c */
+	JOB_TABLE_PROGRESS, /* ID/p */
+};
+/*
+ * job_table_begin_reload - the newest records of the part are going to be applied once more, all of
+ * them. Until then what is known of the jobs stays, and answers callers.
+ */
+void job_table_begin_reload(struct job_table *t, enum job_table_part part);
+/*
+ * job_table_end_reload - all have been applied: removes what was not among them, as its records
+ * were deleted or, of progress, never written.
+ */
+void job_table_end_reload(struct job_table *t, enum job_table_part part);
 /* job_table_find - returns NULL unless the job's own record was read; it may be tentative. */
 struct cell_job *job_table_find(const struct job_table *t, const char *id);
 /* job_table_find_task - finds a task by name: its job in *j, its number, or UINT32_MAX for none. */
--- a/packages/cell/process/progress.c
+++ b/packages/cell/process/progress.c
@@ -94,7 +94,6 @@
 		j->dirty = false;
 		j->written_state = j->state;
 		j->written_batch = s->batch_next;
-		cell_job_release(j);
 	}
 	g_ptr_array_set_size(s->dirty_jobs, 0);
 	lapse_write(s, records);
--- a/packages/cell/process/scheduler.c
+++ b/packages/cell/process/scheduler.c
@@ -300,6 +300,8 @@
 	j->listed = false;
 	j->start_reported = false;
 	j->runs_inherited = false;
+	j->failed_runner = 0;
+	j->written_batch = 0;
 }
 
 void scheduler_destroy(struct scheduler *s)
@@ -410,6 +412,7 @@
 			j->stored_state = j->written_state;
 		if (cell_job_has_ended(j) && j->stored_state == j->state && !j->live_runs &&
 		    !j->dirty) {
+			cell_job_release(j);
 			j->listed = false;
 			g_ptr_array_remove_index(s->open_jobs, i - 1);
 		}
--- a/packages/cell/request/cell_job.c
+++ b/packages/cell/request/cell_job.c
@@ -303,6 +303,7 @@
 	g_clear_pointer(&j->done, g_free);
 	j->released_runs = 0;
 	j->released_failures = 0;
+	j->suspect = false;
 	for (uint32_t i = 0; i < j->n_step; i++)
 		j->step[i].done = 0;
 }
@@ -424,6 +425,10 @@
 
 	if (!m)
 		return false;
+	/* Starts that a scheduler of this process has seen may not have been written. */
+	if (j->progress_stale)
+		j->started = false;
+	j->progress_stale = false;
 	if (j->spec)
 		cell_job_apply_progress(j, m);
 	cell__progress__free_unpacked(m, NULL);
@@ -433,6 +438,17 @@
 	return true;
 }
 
+void cell_job_reset_progress(struct cell_job *j)
+{
+	clear_progress(j);
+	g_clear_pointer(&j->stored_progress, g_free);
+	j->stored_bytes = 0;
+	j->state = j->stored_state = JOB_QUEUED;
+	j->started = false;
+	j->ended_ms = 0;
+	j->progress_stale = false;
+}
+
 Cell__Progress *cell_job_stored_progress(const struct cell_job *j)
 {
 	if (!j->stored_progress)
--- a/packages/cell/request/cell_job.h
+++ b/packages/cell/request/cell_job.h
@@ -85,8 +85,10 @@
 	enum job_state stored_state; /* state in the job log, which callers may be told */
 	bool tentative; /* not known to be stored: placed, but not started or reported */
 	bool cancelled;
-	bool started;	  /* a task has run */
-	int64_t ended_ms; /* wall clock; 0 until the job ends */
+	bool started;	     /* a task has run */
+	bool record_stale;   /* its record hasn't been read since job_table_begin_reload() */
+	bool progress_stale; /* the same of the record of its progress */
+	int64_t ended_ms;    /* wall clock; 0 until the job ends */
 	uint32_t n_task;
 	uint32_t n_step;
 	/*
@@ -147,6 +149,8 @@
  * which a new scheduler has to find. Returns false, with no change, if it can't be read.
  */
 bool cell_job_store_progress(struct cell_job *j, const uint8_t *value, size_t size);
+/* cell_job_reset_progress - as if no record of its progress had been read. */
+void cell_job_reset_progress(struct cell_job *j);
 /*
  * cell_job_stored_progress - the record as last read, NULL for none; free it with
  * cell__progress__free_unpacked().
--- a/packages/node/process/joblog.c
+++ b/packages/node/process/joblog.c
@@ -74,14 +74,19 @@
 
 static const struct job_table_ops job_table_ops = { .changed = on_changed, .dropped = on_dropped };
 
-void joblog_reload(struct joblog *j)
+/* The table keeps its jobs, which are read again: it answers callers meanwhile. */
+static void reload_progress(struct joblog *j)
 {
-	job_table_destroy(j->jobs);
 	lease_ends_reload(j->lease_ends);
-	j->jobs = job_table_create();
-	job_table_watch(j->jobs, &job_table_ops, j);
-	for (uint32_t i = 0; i < PARTS; i++)
-		joblog_reader_reset(&j->reader[i]);
+	job_table_begin_reload(j->jobs, JOB_TABLE_PROGRESS);
+	joblog_reader_reset(&j->reader[JOBLOG_PROGRESS]);
+}
+
+void joblog_reload(struct joblog *j)
+{
+	reload_progress(j);
+	job_table_begin_reload(j->jobs, JOB_TABLE_JOBS);
+	joblog_reader_reset(&j->reader[JOBLOG_JOBS]);
 }
 
 void joblog_record_result(struct joblog *j, enum store_result result)
@@ -385,7 +390,9 @@
 	j->leading = false;
 	j->fencing = false;
 	g_ptr_array_set_size(j->progress_deletes, 0);
-	joblog_reload(j);
+	/* Jobs were read during the term. Its progress was not, and may not have been stored. */
+	job_table_drop_all_tentative(j->jobs);
+	reload_progress(j);
 }
 
 static void tick_leader(struct joblog *j, int64_t now)
@@ -448,6 +455,8 @@
 		j->reader[i].part = i;
 	}
 	j->lease_ends = lease_ends_create();
+	j->jobs = job_table_create();
+	job_table_watch(j->jobs, &job_table_ops, j);
 	joblog_reload(j);
 	return j;
 }
--- a/packages/node/process/joblog.h
+++ b/packages/node/process/joblog.h
@@ -70,7 +70,7 @@
  * are.
  */
 void joblog_begin_term(struct joblog *j, uint64_t term, joblog_done_fn fn, void *ctx);
-/* joblog_end_term - stops writing progress, discards the jobs and reads the log again. */
+/* joblog_end_term - stops writing progress, and reads that of all jobs again. */
 void joblog_end_term(struct joblog *j);
 /*
  * joblog_write - appends a batch of progress (struct log_record), in parts if it is too large for
--- a/packages/node/process/joblog_priv.h
+++ b/packages/node/process/joblog_priv.h
@@ -70,7 +70,7 @@
 	GPtrArray *progress_deletes; /* keys to delete with the next batch */
 };
 
-/* joblog_reload - discards the jobs and starts to read the log again. */
+/* joblog_reload - starts to read the whole log again. */
 void joblog_reload(struct joblog *j);
 /* joblog_record_result - counts consecutive failed calls, for joblog_store_down(). */
 void joblog_record_result(struct joblog *j, enum store_result result);
--- a/packages/node/process/joblog_read.c
+++ b/packages/node/process/joblog_read.c
@@ -61,6 +61,8 @@
 		return;
 	}
 	r->next_offset = r->resume_offset;
+	job_table_end_reload(r->log->jobs,
+			     r->part == JOBLOG_JOBS ? JOB_TABLE_JOBS : JOB_TABLE_PROGRESS);
 }
 
 static void read_part(struct reader *r);
