Report no states from a scheduler that was paused and may be replaced

Cause: the process takes itself for the scheduler until it reads the claim of another one, and answers from its own table.

Change: after a pause that is long enough for another node to claim the lease, only final states are reported until a renewal that was sent after the pause is stored.

Tests: node_election paused_holder_knows_that_it_may_be_replaced, node_intake a_scheduler_in_doubt_reports_no_state_that_may_have_changed, both new with the functions that they call.

--- a/packages/node/process/election.c
+++ b/packages/node/process/election.c
@@ -54,6 +54,8 @@
 	int64_t append_sent_ms;	   /* of the append in flight */
 	Cell__LeadKind append_kind;
 	int64_t renewed_ms; /* when the last acknowledged renewal was sent */
+	int64_t ticked_ms;
+	int64_t paused_until_ms; /* the process didn't run before; 0 once a renewal is stored */
 	int64_t retry_ms;
 	uint32_t jitter_ms;
 	bool low_priority;
@@ -123,11 +125,26 @@
 	e->renewal_read_ms = node_now_ms();
 }
 
+/* Others may claim the lease of a holder that is silent for longer. */
+static void note_pause(struct election *e, int64_t now)
+{
+	if (e->leading && now - e->ticked_ms > ELECTION_SILENT_LEASE_MS - ELECTION_RENEW_MS)
+		e->paused_until_ms = now;
+	e->ticked_ms = now;
+}
+
+bool election_may_be_replaced(struct election *e)
+{
+	note_pause(e, node_now_ms());
+	return e->leading && e->paused_until_ms;
+}
+
 static void become_leader(struct election *e, uint64_t term, int64_t append_sent_ms)
 {
 	e->leading = true;
 	e->term = term;
 	e->renewed_ms = append_sent_ms;
+	e->paused_until_ms = 0;
 	e->by_handover = e->named;
 	replace_holder(e, e->self);
 	log_notice("claim", NULL, "this node is the scheduler, term %" G_GUINT64_FORMAT, term);
@@ -256,6 +273,14 @@
 	e->release_due = false;
 }
 
+/* A renewal that was sent before a pause doesn't tell whether another node has claimed since. */
+static void renewed(struct election *e)
+{
+	e->renewed_ms = e->append_sent_ms;
+	if (e->append_sent_ms >= e->paused_until_ms)
+		e->paused_until_ms = 0;
+}
+
 static void on_appended(void *ctx, enum store_result result, uint64_t offset)
 {
 	struct election *e = ctx;
@@ -279,7 +304,7 @@
 	e->next_offset = offset + 1;
 	/* A renewal or release may be answered after this node has stepped down. */
 	if (e->leading)
-		e->renewed_ms = e->append_sent_ms;
+		renewed(e);
 	else if (e->append_kind == CELL__LEAD_KIND__CLAIM)
 		become_leader(e, offset + 1, e->append_sent_ms);
 }
@@ -351,6 +376,7 @@
 {
 	int64_t now = node_now_ms();
 
+	note_pause(e, now);
 	if (e->holder_unknown || (e->holder && !e->holder_released && !holder_is_predecessor(e)))
 		e->vacant_since_ms = 0;
 	else if (!e->vacant_since_ms)
--- a/packages/node/process/election.h
+++ b/packages/node/process/election.h
@@ -61,6 +61,11 @@
 void election_suspect(struct election *e);
 /* election_superseded - steps down; by: the runner or the log that has seen a higher term. */
 void election_superseded(struct election *e, const char *by);
+/*
+ * election_may_be_replaced - whether this process holds the lease, has been paused for so long that
+ * another node may have claimed it, and has not renewed it since.
+ */
+bool election_may_be_replaced(struct election *e);
 /* election_renewing - whether the last renewal was stored, as far as is known. */
 bool election_renewing(const struct election *e);
 /* election_by_handover - whether the last holder handed the lease over to this node. */
--- a/packages/node/process/node.c
+++ b/packages/node/process/node.c
@@ -350,6 +350,11 @@
 	election_suspect(((struct node *)ctx)->election);
 }
 
+static bool may_be_replaced(void *ctx)
+{
+	return election_may_be_replaced(((struct node *)ctx)->election);
+}
+
 static bool on_store_reachable(void *ctx)
 {
 	return election_renewing(((struct node *)ctx)->election);
@@ -392,6 +397,7 @@
 	n->intake = intake_create(n->log, n->links, n->admit);
 	n->election = election_create(store, n->self, address, conf->cpu_milli < SMALL_VM_CPU_MILLI,
 				      &election_ops, n);
+	intake_set_doubt(n->intake, may_be_replaced, n);
 	return n;
 }
 
--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -11,6 +11,8 @@
 	struct recent_ids *in_doubt; /* jobs of which an attempt by this node may be stored */
 	GQueue open;		     /* struct request */
 	bool scheduling;
+	bool (*replaced)(void *ctx); /* see intake_set_doubt(); NULL: never */
+	void *replaced_ctx;
 };
 
 struct intake *intake_create(struct joblog *log, struct links *links, struct admit *admit)
@@ -38,6 +40,17 @@
 	i->scheduling = scheduling;
 }
 
+void intake_set_doubt(struct intake *i, bool (*replaced)(void *ctx), void *ctx)
+{
+	i->replaced = replaced;
+	i->replaced_ctx = ctx;
+}
+
+static bool may_be_replaced(const struct intake *i)
+{
+	return i->scheduling && i->replaced && i->replaced(i->replaced_ctx);
+}
+
 /* Returns NULL unless the job is known to be stored. */
 static const struct cell_job *find_stored(const struct intake *i, const char *id)
 {
@@ -61,7 +74,7 @@
 {
 	const struct cell_job *j = find_stored(i, id);
 
-	if (!j || (!i->scheduling && j->stored_state < JOB_DONE))
+	if (!j || (j->stored_state < JOB_DONE && (!i->scheduling || may_be_replaced(i))))
 		return false;
 	*state = visible_state(j);
 	return true;
@@ -293,6 +306,8 @@
 		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
 	else if (!j)
 		finish_state(r, INTAKE_NOT_FOUND, JOB_QUEUED);
+	else if (j->stored_state < JOB_DONE && may_be_replaced(r->intake))
+		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
 	else
 		finish_state(r, INTAKE_OK, visible_state(j));
 }
--- a/packages/node/request/intake.h
+++ b/packages/node/request/intake.h
@@ -34,6 +34,12 @@
 /* intake_set_scheduling - sets whether this node is the scheduler. */
 void intake_set_scheduling(struct intake *i, bool scheduling);
 
+/*
+ * intake_set_doubt - replaced: whether another node may be the scheduler already, although this one
+ * is. Then it reports no states that may have changed.
+ */
+void intake_set_doubt(struct intake *i, bool (*replaced)(void *ctx), void *ctx);
+
 /* intake_submit - takes ownership of job; fn is called by deadline_ms or slightly later. */
 void intake_submit(struct intake *i, Cell__Job *job, int64_t deadline_ms, intake_fn fn, void *ctx);
 /*
--- a/tests/node/test_election.c
+++ b/tests/node/test_election.c
@@ -777,3 +777,49 @@
 	cr_expect_geq(fake_now_ms, started_ms + ELECTION_LEASE_MS, "one of them may renew");
 	teardown(l, c, 2);
 }
+
+/*
+ * Guards against a former scheduler that answers from what it knew before its process was paused,
+ * though another node has claimed the lease meanwhile.
+ */
+Test(election, paused_holder_knows_that_it_may_be_replaced)
+{
+	static const struct {
+		const char *what;
+		int64_t pause_ms;
+		bool renewal_in_flight; /* sent before the pause, answered after it */
+		bool replaced;
+	} cases[] = {
+		{ "no pause", 0, false, false },
+		{ "a busy process", 400, false, false },
+		{ "a pause", 700, false, true },
+		{ "a long pause", 60000, false, true },
+		{ "a renewal from before the pause is stored", 700, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_log *l = fake_log_create();
+		struct candidate c[1] = { 0 };
+
+		candidate_create(&c[0], l, "a");
+		advance(l, c, 1, 1000);
+		cr_assert_gt(c[0].term, 0);
+		cr_assert_not(election_may_be_replaced(c[0].election));
+		if (cases[i].renewal_in_flight) {
+			fake_now_ms += ELECTION_RENEW_MS;
+			election_tick(c[0].election);
+		}
+		fake_now_ms += cases[i].pause_ms;
+		cr_expect_eq(election_may_be_replaced(c[0].election), cases[i].replaced, "%s",
+			     cases[i].what);
+		if (cases[i].renewal_in_flight) {
+			fake_serve(l);
+			cr_expect(election_may_be_replaced(c[0].election), "%s", cases[i].what);
+		}
+		advance(l, c, 1, 100);
+		cr_expect_not(election_may_be_replaced(c[0].election), "%s: renewed",
+			      cases[i].what);
+		election_destroy(c[0].election);
+		fake_log_destroy(l);
+	}
+}
--- a/tests/node/test_intake.c
+++ b/tests/node/test_intake.c
@@ -404,6 +404,60 @@
 	admit_destroy(admit);
 }
 
+static bool is_in_doubt(void *ctx)
+{
+	return *(const bool *)ctx;
+}
+
+static void on_visible(void *ctx, enum intake_result result, enum job_state state)
+{
+	on_submitted(ctx, result, state);
+}
+
+/* Guards against states of a scheduler that was paused and has been replaced. */
+Test(intake, a_scheduler_in_doubt_reports_no_state_that_may_have_changed)
+{
+	static const struct {
+		const char *what;
+		bool doubt;
+		enum job_state stored;
+		enum intake_result expected;
+	} cases[] = {
+		{ "running", false, JOB_RUNNING, INTAKE_OK },
+		{ "running, in doubt", true, JOB_RUNNING, INTAKE_REFUSED },
+		{ "done", false, JOB_DONE, INTAKE_OK },
+		{ "done, in doubt", true, JOB_DONE, INTAKE_OK },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct intake_env e = { 0 };
+		bool doubt = cases[i].doubt;
+		enum job_state state;
+		struct cell_job *j;
+
+		env_open(&e, false);
+		env_submit(&e);
+		for (int k = 0; k < 100; k++) {
+			fake_now_ms += 20;
+			joblog_tick(e.joblog);
+			fake_serve(e.log);
+		}
+		j = job_table_find(joblog_job_table(e.joblog), "00000000000000a1");
+		cr_assert_not_null(j);
+		j->stored_state = cases[i].stored;
+		intake_set_scheduling(e.intake, true);
+		intake_set_doubt(e.intake, is_in_doubt, &doubt);
+		cr_expect_eq(intake_find_state(e.intake, j->id, &state),
+			     cases[i].expected == INTAKE_OK, "%s: asked by a node", cases[i].what);
+		intake_state(e.intake, j->id, NULL, on_visible, &e.other);
+		env_run(&e, 1);
+		cr_expect_eq(e.other.result, cases[i].expected, "%s", cases[i].what);
+		if (cases[i].expected == INTAKE_OK)
+			cr_expect_eq(e.other.retry_after_ms, cases[i].stored, "%s", cases[i].what);
+		env_close(&e);
+	}
+}
+
 enum wait_kind {
 	WAIT_APPEND,  /* a job, in an append that the store doesn't answer */
 	WAIT_QUEUED,  /* a job that waits until that append is over */
