--- a/tests/platform_vm/callers.h
+++ b/tests/platform_vm/callers.h
@@ -7,6 +7,9 @@
  * callers - callers of a cell in the default main context, over keep-alive connections that stay
  * open: they hand in jobs, ask for states and cancel. A request without an answer is repeated at
  * another VM, a refused one up to three times.
+ *
+ * Beside these, they hand in jobs and cancel them at another VM at the same time, until the cancel
+ * is answered with 2xx or 410; and they ask how many jobs wait, of which some can never start.
  */
 struct callers;
 
@@ -46,6 +49,8 @@
 
 uint32_t callers_jobs(const struct callers *cl);
 const struct caller_job *callers_job(const struct callers *cl, uint32_t i);
+/* callers_race_jobs - ids of the jobs whose cancel, sent with the job, was acknowledged. */
+const GArray *callers_race_jobs(const struct callers *cl);
 /* callers_summary - requests by answer; owned by the caller (g_free). */
 char *callers_summary(const struct callers *cl);
 /* callers_faults - a line for each connection that a calm process broke off, or wrong answer. */
--- a/tests/platform_vm/soak.c
+++ b/tests/platform_vm/soak.c
@@ -255,6 +255,30 @@
 	g_string_append(k->faults, run_record_faults(vm_cell_record(k->cell)));
 }
 
+static bool are_gone(struct vm_cell *c, void *ctx)
+{
+	const GArray *id = ctx;
+
+	for (guint i = 0; i < id->len; i++) {
+		g_autofree char *name = g_strdup_printf("%016" G_GINT64_MODIFIER "x.",
+							g_array_index(id, uint64_t, i));
+
+		if (run_record_running(vm_cell_record(c), name))
+			return false;
+	}
+	return true;
+}
+
+/* Jobs that last, and whose cancelling was acknowledged, perhaps before they were stored. */
+static void check_races(struct soak *k)
+{
+	const GArray *id = callers_race_jobs(k->callers);
+
+	if (!vm_cell_wait_until(k->cell, are_gone, (void *)id, CANCEL_WAIT_MS))
+		g_string_append(k->faults, "a job runs whose cancel came with it and was "
+					   "acknowledged\n");
+}
+
 static void check_answers(struct soak *k)
 {
 	for (uint32_t i = 0; i < k->conf.vms; i++) {
@@ -303,8 +327,10 @@
 	check_ready(k);
 	if (!callers_finish(k->callers, CALLS_WAIT_MS) || !crowd_finish(k->crowd, CALLS_WAIT_MS))
 		g_string_append(k->faults, "requests are still without an answer\n");
+	check_races(k);
 	check_jobs(k);
 	k->settled_ms = (g_get_monotonic_time() - over_us) / 1000;
+	check_races(k);
 	check_answers(k);
 	check_usage(k);
 	check_ends(k);
--- a/tests/platform_vm/troubles.c
+++ b/tests/platform_vm/troubles.c
@@ -26,7 +26,8 @@
 #define GAP_MIN_US     4000  /* of those */
 #define ROLLING_MAX_MS 10000 /* a rolling restart of all VMs */
 #define VMS_PER_HIT    25    /* of so many VMs, one has the trouble */
-#define SETTINGS_PARTS 5     /* in which the file is written */
+#define LATE_EVERY_MS  3000
+#define SETTINGS_PARTS 5 /* in which the file is written */
 
 struct step;
 typedef void (*step_fn)(struct troubles *t, const struct step *s);
@@ -622,18 +623,43 @@
 	{ "garbage on the ports", 2, true, plan_garbage },
 };
 
-static const struct trouble *pick_trouble(struct troubles *t)
+/* The VM wakes with orders in its socket, and a runner has forgotten the runs that they start. */
+static void plan_freeze_and_restart(struct troubles *t, uint32_t at_ms, uint32_t vm)
+{
+	uint32_t ms = pick(t, 1500, 4000);
+
+	add(t, at_ms, do_signal, vm, SIGSTOP, 0);
+	add(t, at_ms + ms - pick(t, 10, 400), do_runner_restart, vm, pick(t, 0, 63), 0);
+	add(t, at_ms + ms, do_signal, vm, SIGCONT, 0);
+}
+
+/* Two leases change hands in close succession, and the first holder wakes after both. */
+static void plan_freeze_and_stop_scheduler(struct troubles *t, uint32_t at_ms, uint32_t vm)
+{
+	add(t, at_ms, do_signal_scheduler, vm, SIGSTOP, 0);
+	add(t, at_ms + pick(t, 1500, 2500), do_signal_scheduler, vm, SIGTERM, 0);
+	for (uint32_t i = 0; i < t->conf.vms; i++)
+		add(t, at_ms + pick(t, 2600, 4500), do_signal, i, SIGCONT, 0);
+}
+
+/* Drawn after the others, so that a seed gives these as before. */
+static const struct trouble late_kinds[] = {
+	{ "freeze, a runner restarts", 2, true, plan_freeze_and_restart },
+	{ "freeze of the scheduler, stop of its successor", 1, false,
+	  plan_freeze_and_stop_scheduler },
+};
+
+static const struct trouble *pick_trouble(struct troubles *t, const struct trouble *kind, size_t n)
 {
 	uint32_t sum = 0;
-	size_t i = 0;
 	uint32_t at;
 
-	for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++)
-		sum += kinds[k].weight;
+	for (size_t k = 0; k < n; k++)
+		sum += kind[k].weight;
 	at = pick(t, 0, sum - 1);
-	while (at >= kinds[i].weight)
-		at -= kinds[i++].weight;
-	return &kinds[i];
+	while (at >= kind->weight)
+		at -= kind++->weight;
+	return kind;
 }
 
 static int compare_steps(const void *a, const void *b)
@@ -646,9 +672,8 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-static void plan_one(struct troubles *t, uint32_t at_ms, uint32_t vm)
+static void plan_one(struct troubles *t, const struct trouble *kind, uint32_t at_ms, uint32_t vm)
 {
-	const struct trouble *kind = pick_trouble(t);
 	uint32_t n = kind->one_vm ? 1 + (t->conf.vms - 1) / VMS_PER_HIT : 1;
 
 	g_string_append_printf(t->plan, "%6u ms  VM %2u  %s\n", at_ms, vm, kind->name);
@@ -666,11 +691,15 @@
 		uint32_t vm = pick(t, 0, t->conf.vms - 1);
 
 		for (uint32_t i = 0; i < n; i++) {
-			plan_one(t, at_ms, vm);
+			plan_one(t, pick_trouble(t, kinds, G_N_ELEMENTS(kinds)), at_ms, vm);
 			at_ms +=
 				i + 1 < n ? pick(t, 0, 400) : pick(t, 0, n * 2000 / TROUBLES_PER_S);
 		}
 	}
+	for (at_ms = pick(t, 500, LATE_EVERY_MS); at_ms < t->conf.length_ms;
+	     at_ms += pick(t, 500, 2 * LATE_EVERY_MS))
+		plan_one(t, pick_trouble(t, late_kinds, G_N_ELEMENTS(late_kinds)), at_ms,
+			 pick(t, 0, t->conf.vms - 1));
 	g_array_sort(t->step, compare_steps);
 }
 
