--- a/packages/cell/process/reserve.h
+++ b/packages/cell/process/reserve.h
@@ -5,8 +5,7 @@
 
 #define RESERVE_HORIZON_MS 12000 /* room that is expected later is not reserved yet */
 #define RESERVE_OVERRUN_MS 30000 /* a run that exceeds its estimate by more may go on for long */
-#define RESERVE_POOL_MILLI                                                                         \
-	500 /* share of the runners for large tasks that are no gang, and for all that yield */
+#define RESERVE_POOL_MILLI 500	 /* share of the runners for large tasks, and for all that yield */
 
 /*
  * reserve - reserves room on runners for the rest of a placement pass, against steps of lower rank.
