--- a/packages/node/request/intake.c
+++ b/packages/node/request/intake.c
@@ -91,7 +91,8 @@
 	int64_t deadline_ms;
 	char *team;    /* of the caller, NULL if it may access the jobs of all teams */
 	bool in_doubt; /* the scheduler may have appended the record */
-	bool early;    /* a cancel whose job isn't known */
+	bool cancels;  /* the record is a cancel */
+	bool early;    /* of a job that isn't known */
 	bool ended;    /* answered by intake_end(); what it waits for frees it */
 	intake_fn fn;
 	intake_state_fn state_fn;
@@ -156,11 +157,9 @@
 /* An attempt by this node, which the scheduler may not have read yet, makes a rejection untrue. */
 static void reject(struct request *r, uint32_t retry_after_ms)
 {
-	if (r->early)
-		finish(r, INTAKE_REJECTED, retry_after_ms);
-	else if (find_stored(r->intake, r->id))
+	if (!r->cancels && find_stored(r->intake, r->id))
 		finish(r, INTAKE_OK, 0);
-	else if (recent_ids_contains(r->intake->in_doubt, r->id, node_now_ms()))
+	else if (!r->cancels && recent_ids_contains(r->intake->in_doubt, r->id, node_now_ms()))
 		finish(r, INTAKE_UNKNOWN, 0);
 	else
 		finish(r, INTAKE_REJECTED, retry_after_ms);
@@ -228,6 +227,7 @@
 
 static void append_cancel(struct request *r)
 {
+	r->cancels = true;
 	r->key = g_strdup_printf("%s/c", r->id);
 	r->value = job_table_cancel_record(r->team, &r->size);
 	store_intake(r);
@@ -302,12 +302,10 @@
 	struct request *r = ctx;
 	const struct cell_job *j = find_stored(r->intake, r->id);
 
-	if (result != STORE_OK)
+	if (result != STORE_OK || (j && j->stored_state < JOB_DONE && may_be_replaced(r->intake)))
 		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
 	else if (!j)
 		finish_state(r, INTAKE_NOT_FOUND, JOB_QUEUED);
-	else if (j->stored_state < JOB_DONE && may_be_replaced(r->intake))
-		finish_state(r, INTAKE_REFUSED, JOB_QUEUED);
 	else
 		finish_state(r, INTAKE_OK, visible_state(j));
 }
--- a/tests/node/test_intake.c
+++ b/tests/node/test_intake.c
@@ -375,7 +375,7 @@
 	admit = admit_create(e.joblog, NULL);
 	intake_destroy(e.intake);
 	e.intake = intake_create(e.joblog, e.b.links, admit);
-	fake_now_ms += 10 * JOBLOG_EARLY_CANCEL_MS;
+	fake_now_ms += INT64_C(10) * JOBLOG_EARLY_CANCEL_MS;
 	env_cancel(&e, "00000000000000a1", "t");
 	cr_expect_eq(e.other.result, INTAKE_NOT_FOUND);
 	for (int k = 0; k < 100; k++) {
--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -363,10 +363,10 @@
 		const char *name;
 		size_t body_bytes;
 		uint32_t calls_before; /* leave a connection open */
-		int64_t pause_us;      /* before the process runs its loop */
+		uint32_t pause_ms;     /* before the process runs its loop */
 	} cases[] = {
-		{ "a pause before the connection", 4, 0, 3 * SILENCE_MS * 1000 },
-		{ "a pause before a kept connection is used", 4, 1, 3 * SILENCE_MS * 1000 },
+		{ "a pause before the connection", 4, 0, 3 * SILENCE_MS },
+		{ "a pause before a kept connection is used", 4, 1, 3 * SILENCE_MS },
 		{ "data held up", HELD_UP_BYTES, 0, 0 },
 		{ "data held up on a kept connection", HELD_UP_BYTES, 1, 0 },
 	};
@@ -388,7 +388,7 @@
 		for (uint32_t k = 0; k < cases[i].calls_before; k++)
 			call(c, s, raw_server_port(s), "POST", "", TIMEOUT_MS);
 		client_send(c, &order, on_reply, &x);
-		g_usleep(cases[i].pause_us);
+		g_usleep(cases[i].pause_ms * 1000ul);
 		/* The server isn't served, so it reads nothing until the call has ended. */
 		cr_assert(raw_wait_until(is_answered, &x));
 		cr_expect_eq(x.status, 0);
